Keep each gateway of many to a part of the font servers

Ruled out: closing as idle (none), connections lost (no reset), a limit of descriptors (86 of 384). At fault: Fleet.pick drew from all servers that are up. Now: each gateway has an order of the servers of its own, by a hash of its number and the server's id, and keeps to the first of them, so that about ten gateways keep to each server; the rest only where none of those is able. A server that goes moves no other. Credit of cold servers counts over the kept ones: half the sets give the same sum. Harm: a server kept to by more gateways than others is busier until it is passed over. Small fleets keep to all servers as before.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -49,6 +49,7 @@
 FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
 REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
 CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
+COVER, NEAR_LEAST = 10.0, 8.0  # gateways that keep to one server, about; servers that one keeps to at least
 DOUBT_LEAST, DOUBT_MOST = 0.02, 0.6  # bounds of the part of hosts taken to fail before anything is seen
 FAILS, CHANCE = 0.9, 0.05  # share of attempts that fail at a failing host; at a sound one
 COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
@@ -244,6 +245,7 @@
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
         self.gone_at = math.inf
         self.rests: dict[str, tuple[int, float]] = {}  # host or class: failures in a row, its next trial
+        self.rank = 0  # place in this gateway's order of servers, another one at each gateway
         self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
 
     def tried(self, now: float, keys: tuple[str, ...], ok: bool) -> None:
@@ -272,6 +274,7 @@
         self.set, self.rng, self.doubt = settings, rng, Doubt()
         self.servers: dict[str, Server] = {}
         self.up: list[Server] = []
+        self.near: list[Server] = []  # those of them that this gateway keeps to
         self.limit = max(1.0, LIMIT_MOST / settings.gateways)
         self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
         self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
@@ -291,6 +294,7 @@
             if old is None or (host.state == "up" and host.started > old.host.started):
                 # Credit starts anywhere below one send: first sends of many gateways are spread over time.
                 self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
+                self.servers[host.id].rank = stable_hash("near", self.set.index, host.id)
             else:
                 old.host, old.up = host, host.state == "up"
             server = self.servers[host.id]
@@ -298,6 +302,8 @@
         self.forget(now)
         self.up = [s for s in self.servers.values() if s.up]
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
+        many = math.ceil(max(NEAR_LEAST, COVER * len(self.up) / self.set.gateways))
+        self.near = sorted(self.up, key=lambda s: s.rank)[:many] if many < len(self.up) else self.up
 
     def forget(self, now: float) -> None:
         """Hosts come under ever new ids: what is gone for long, with nothing out there, is dropped."""
@@ -325,7 +331,7 @@
         if warm == 1.0:
             return True
         # A cold host falls over when all gateways together send more than it bears: credit is saved up.
-        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.up))
+        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.near))
         s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
         s.credit_at = now
         return s.credit >= 1.0
@@ -346,9 +352,18 @@
         return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
 
     def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
+        """One of those that this gateway keeps to, or of all where none of these is able. A gateway of many
+        that spreads its few requests over all servers opens a connection to each, and learns of none.
+        Harm: servers that more gateways than others keep to are busier, until they are passed over."""
+        pool = self.up if fits is None else fits
+        if len(self.near) < len(self.up):
+            near = self.near if fits is None else [s for s in self.near if s in fits]
+            return self.best(now, keys, near) or self.best(now, keys, pool)
+        return self.best(now, keys, pool)
+
+    def best(self, now: float, keys: tuple[str, ...], pool: list[Server]) -> Server | None:
         """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
         since the best of all by an old report is the same server for all gateways."""
-        pool = self.up if fits is None else fits
         few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
         if few < len(pool):
             draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -74,3 +74,42 @@
     w.end(send)
     w.do(api.HostList("full", 4, (host(other),)))
     assert send.host not in w.gw.fleet.servers
+
+
+def used(index, hosts, gateways=40, tries=200):
+    w = World(settings(plans=[BIG], gateways=gateways, index=index), hosts, seed=index)
+    seen = set()
+    for _ in range(tries):
+        for send in of(w.ask()[1], api.Send):
+            seen.add(send.host)
+            w.end(send)
+    return seen
+
+
+def test_a_gateway_of_many_keeps_to_a_part_of_the_servers_and_each_server_has_many_gateways():
+    hosts = [host(f"h{n}") for n in range(60)]
+    sets = [used(k, hosts) for k in range(40)]
+    assert all(len(s) == 15 for s in sets)
+    keepers = [sum(h.id in s for s in sets) for h in hosts]
+    assert min(keepers) >= 3 and max(keepers) <= 20
+    assert len(used(0, hosts, gateways=2)) == 60
+
+
+def test_where_none_of_its_own_servers_is_able_another_one_is_used():
+    w = World(settings(plans=[BIG], gateways=40), [host(f"h{n}") for n in range(60)])
+    near = {s.host.id for s in w.gw.fleet.near}
+    asked = [w.ask(cls="note") for _ in range(12)]  # nothing is answered: its part of the attempts is out
+    assert {s.host for _, acts in asked for s in of(acts, api.Send)} <= near
+    for s in w.gw.fleet.near:
+        s.rests["host"] = 1, w.now + 10.0
+    w.gw.fleet.out = 0
+    (send,) = of(w.ask(cls="note")[1], api.Send)
+    assert send.host not in near
+
+
+def test_servers_that_go_are_made_up_for_and_the_others_stay():
+    w = World(settings(plans=[BIG], gateways=40), [host(f"h{n}") for n in range(60)])
+    before = [s.host.id for s in w.gw.fleet.near]
+    w.do(api.HostList("delta", 2, (host(before[3], state="leaving"),)))
+    after = [s.host.id for s in w.gw.fleet.near]
+    assert set(before) - set(after) == {before[3]} and len(after) == 15
