Let windows of thin customers last two refills and hold the whole refill

At fault: Account.length and Account.hold (REFILL), PlanUse levels taken over 5 s for every plan. Now: a thin customer's window is two refills long with the whole refill in its hold, what it let run over is written off as for others, demand is taken over two refills, and a count found at its end is left alone in a crowd until its turn comes among the customer's gateways.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -20,7 +20,7 @@
 ALLOW, CHARGE_AT = 0.5, 0.5  # part of the even room passed uncharged; part of that which is then charged
 RESERVE = 0.2  # share of a burst kept from the class worth least a unit, for the one worth most
 STRAND_MIN = 0.05  # least chance that an unspent unit is missed elsewhere (c2), customer nearly idle
-REFILL = 0.5  # part of the refill in a thin customer's hold: its overdrafts are seldom brought along
+THIN_WINDOW = 2.0  # window of a thin customer in refills of its burst: overdrafts are lost at its end
 CROWD = 0.3  # worth of a call's time at the full time-out (c1 grows as the counter slows), squared share
 CROWDED, CROWD_STEEP = 0.5, 4.0  # part of the time-out from which a call is rationed; price there, in tries
 CROWD_OF = 20.0  # gateways that are half a crowd, before the counter has been heard
@@ -29,7 +29,7 @@
 GRANT_PRIOR = (0.7, 0.6, 0.4, 0.2, 0.1)  # share of tries granted at each level of demand, before any was
 USE_SPAN, POOL_SPAN = 10.0, 2.0  # s that granted use is taken over; part of it that may pass at once
 LEVELS = (0.5, 1.5, 4.0)  # bounds of the levels: demand seen here, in even parts of the rate
-TRIES_SPAN, FULL_BURSTS = 5.0, 4.0  # s that it is taken over; refills of a burst that an end is held for
+TRIES_SPAN, FULL_BURSTS = 2.0, 4.0  # refills of a burst that it is taken over; that an end is held for
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
@@ -85,7 +85,8 @@
     def __init__(self, req: api.Request, plan: api.Plan, born: float, now: float, rng: random.Random) -> None:
         self.name, self.plan, self.spread, self.open_here = req.customer, plan, req.spread, 0
         self.thin = 0 < plan.burst < self.spread  # an even part of the burst is less than a unit
-        self.length = plan.burst / plan.rate if plan.rate else 1.0
+        self.refill = plan.burst / plan.rate if plan.rate else 1.0  # s in which an empty store fills
+        self.length = self.refill * (THIN_WINDOW if self.thin else 1.0)
         self.phase = stable_hash(self.name, "phase") % 4096 / 4096 * self.length
         self.k = self.window(now)
         self.start = self.k * self.length + self.phase
@@ -111,7 +112,8 @@
         if self.put > 0 and self.total - self.carried >= 1:  # the counter told what all passed
             part = min(1.0, self.used / (self.total - self.carried))
             self.part += PART_GAIN * (part - self.part)
-        debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
+        debt = max(0.0, self.total + self.uncharged * self.spread
+                   - self.plan.rate * self.length * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
         self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
@@ -122,14 +124,15 @@
     def tried(self, now: float) -> int:
         """Notes a try and tells how far beyond its quota the customer seems to ask, which shows in what came
         here before this one. The last level is that of a count found at its end."""
-        demand = self.tries = self.tries * math.exp((self.tries_at - now) / TRIES_SPAN)
+        span = TRIES_SPAN * self.refill
+        demand = self.tries = self.tries * math.exp((self.tries_at - now) / span)
         self.tries, self.tries_at = demand + 1.0, now
-        if now - self.found_full < FULL_BURSTS * self.plan.burst / self.plan.rate:
+        if now - self.found_full < FULL_BURSTS * self.refill:
             return len(LEVELS) + 1
-        return bisect.bisect(LEVELS, demand * self.spread / (TRIES_SPAN * self.plan.rate))
+        return bisect.bisect(LEVELS, demand * self.spread / (span * self.plan.rate))
 
     def hold(self, now: float) -> float:
-        return self.plan.burst + (REFILL if self.thin else 1.0) * self.plan.rate * (now - self.start)
+        return self.plan.burst + self.plan.rate * (now - self.start)
 
     def room(self, now: float) -> float:
         return min(self.plan.burst, self.hold(now) - self.total) - self.uncharged
@@ -639,9 +642,9 @@
             extra, acct.put = acct.put, 0.0  # the new count holds nothing else of ours
         elif total <= acct.put + mine + acct.unsure + slack:
             extra, acct.debt = acct.debt, 0.0  # who finds none but its own brings the overdraft along
-        if not acct.thin:  # the store holds a burst at most: what a quiet customer let run over is gone
-            surplus = max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
-            extra, acct.carried = extra + surplus, acct.carried + surplus
+        # The store holds a burst at most: what a quiet customer let run over is gone.
+        surplus = max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
+        extra, acct.carried = extra + surplus, acct.carried + surplus
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
         kept = min((self.kept(j) for j in jobs), default=0.0)
         over = min(call.ask, max(0.0, math.ceil(total + extra + kept - acct.hold(now))))
@@ -665,8 +668,8 @@
         for job in sorted(jobs, key=lambda j: -j.worth / max(j.req.units, 1e-9)):
             if acct.room(now) + acct.lease < job.req.units:
                 wait = max(0.0, 1 - acct.room(now)) / acct.plan.rate
-                crowd = self.counter.slow > CROWDED  # others wait for the same unit: no call until the turn
-                acct.full_until = acct.start + acct.length if crowd else now + wait
+                crowd = self.counter.slow > CROWDED  # the others wait for the same unit: no call for long
+                acct.full_until = now + wait * (acct.spread if crowd else 1)
             self.decide(now, job, again and not self.counter.fails)
         if acct.waiting:
             self.renew(now, acct)
