Ask a busy discovery for changes since the version held, and not in step

Ruled out: servers that were full: all that turned away answered in about 1 ms. At fault: Discovery.run asked for the whole list at the start and after each failure, 60 lines of work a call, and every gateway a second later again. Now: the list that comes with the configuration counts as held; a call that failed since discovery was busy or away is followed by the same watch, after up to 2 s, more or less by half. What cannot be read is still followed by a call for the whole list. Harm: after a failure a change is heard up to 2 s later.

--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -114,7 +114,7 @@
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
-                                   self.list_failed)
+                                   self.list_failed, held=bool(config.known.hosts.hosts))
         self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
