Let a request wait only while an answer could still come within its aim

Seen: Gateway.hold let a request whose attempt had failed wait for a server as long as its whole aim, so what was sent at the end of it could not be answered in time: a refusal kept back rather than a wait of use. Now: the wait ends the mean time of an answer before the aim, for first attempts too, and in any case in the first half of the request's time; may_wait goes by the same bound. Ruled out: other waits, as units waits are bounded by two calls to the counter, which is unchanged. Harm: where answers are slow, some are refused that would have been answered just late.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -739,9 +739,10 @@
         bisect.insort(self.queue, job, key=lambda j: (not j.beyond, j.value))
 
     def hold(self, job: Job) -> float:
-        """How long after its arrival a request may wait for a server. One whose attempt failed may do so till
-        it is worth nothing or its refusal comes late: a client that comes again is served later still."""
-        return min(job.cls.aim, (job.deadline - job.arrived) / 2) if job.sends else QUEUE_HOLD * job.cls.aim
+        """How long after its arrival a request may wait for a server: while it can still be sent with use,
+        and its refusal comes in the first half of its time. Of those not sent yet, there are many."""
+        useful = max(0.0, job.cls.aim - self.fleet.mean[job.cls.name])
+        return min(useful, (job.deadline - job.arrived) / 2, job.cls.aim * (1.0 if job.sends else QUEUE_HOLD))
 
     def refuse(self, now: float, job: Job, wait: float) -> None:
         ran = job.cls.effect != "safe" and (job.cls.effect, job.cls.scope) != ("keyed", "all")
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -230,3 +230,19 @@
             w.end(s, report={"queue": 30.0, "util": 1.0}, elapsed=0.9)
         w.now += 0.05
     assert served["read"] < 0.5 * served["write"] and served["write"] < 150
+
+
+def test_a_request_waits_no_longer_than_it_can_still_be_sent_with_use():
+    w = World(settings(gateways=1), [host("h1")])
+    name, acts = w.ask()
+    (send,), arrived = of(acts, api.Send), w.now
+    w.gw.fleet.mean["read"] = 0.6  # of the aim of 1.0: an attempt begun later is answered too late
+    assert w.gw.hold(w.gw.jobs[name]) <= 0.4
+    w.now += 0.3
+    w.do(api.HostList("delta", 2, (host("h2", started=w.now),)))
+    w.gw.fleet.servers["h2"].credit = -9.0  # cold: it may be sent nothing yet
+    acts = w.end(send, "reset")
+    assert not of(acts, api.Refuse | api.Fail)
+    acts = w.wait(0.6)
+    end = [at for at, a in w.log if isinstance(a, api.Refuse | api.Fail) and a.id == name]
+    assert of(acts, api.Refuse | api.Fail) and end[0] <= arrived + 0.4 + 0.05
