Give up a silent watch to the moment and before what it misses counts as told

Ruled out: a server chosen before the list and sent to after it: the list had not come. At fault: WAIT + ANSWER = 7 s is the very moment at which what a silent watch misses counts as told, so the new call began after it; and aiohttp rounds its time-outs of over 5 s up to whole seconds, so up to 8 s were spent (discovery.py, `get` and `run`). After further failures the pause grew to 2 s, more by half: past any grace. Now: the agent is on the gateway's own machine and answers at once, so a call is given up half a second past its wait, by asyncio's timer. After a call that got no answer short ones follow that wait for nothing, until one is answered; they and the pauses between them end within `drain_grace`, which the settings tell. A busy discovery (503) is asked with the same growing pause as before. The tests of the 7 s and of the pauses count the time of calls by their own limits; that of the rounding takes one watch of real time.

--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -14,9 +14,11 @@
 from calicomast.net.listing import Address, Listing, read_list
 
 WAIT = 5.0  # s that discovery may hold a watch open
-ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
+ANSWER = 0.5  # s past that after which a call is given up: the agent is on this machine and answers at once
+ANSWER_LEAST = 0.1  # s of it where sends to a drained host must stop sooner than twice that
 MOST_LIST = 1024 * 1024  # bytes of an answer: one without end must not fill the memory
-BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries after a failure, more or less by half
+BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries of a discovery that is busy, more or less by half
+GRACE_PART = 0.2  # of the time in which sends to a drained host must stop; longest pause before silence ends
 
 log = logging.getLogger(__name__)
 
@@ -25,13 +27,19 @@
     """`told` gets each list, `failed` hears of each call that failed.
 
     A version that is `held` is asked for what came after it: each line of a list is work for discovery, and
-    when many gateways begin at once, or ask again after a failure, whole lists keep it from answering any."""
+    when many gateways begin at once, or ask again after a failure, whole lists keep it from answering any.
+
+    What the agent has counts as told, also while no call hears it, and sends to a host that drains must stop
+    within `grace`. So a call that got no answer is followed by short ones that wait for nothing, one of which
+    always ends within `grace` of the agent's return; a watch is opened again once one was answered."""
 
     def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
-                 failed: Callable[[], None], held: bool = False) -> None:
+                 failed: Callable[[], None], held: bool = False, grace: float = 1.0) -> None:
         host, port = address
         self.url = f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
         self.version, self.told, self.failed, self.held = version, told, failed, held
+        self.limit, self.pause = min(ANSWER, max(ANSWER_LEAST, grace / 2)), GRACE_PART * grace
+        self.silent = False  # the last call got no answer
         self.session: aiohttp.ClientSession | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: set[asyncio.Task[None]] = set()
@@ -39,8 +47,8 @@
     async def get(self, params: dict[str, int], limit: float) -> None:
         if self.session is None:
             self.session = aiohttp.ClientSession(trust_env=False)
-        async with self.session.get(self.url, params=params,
-                                    timeout=aiohttp.ClientTimeout(total=limit)) as answer:
+        # Not aiohttp's own time-out, which is rounded up to whole seconds where it is over five.
+        async with asyncio.timeout(limit), self.session.get(self.url, params=params) as answer:
             answer.raise_for_status()
             body = bytearray()
             async for chunk in answer.content.iter_any():
@@ -59,23 +67,29 @@
         except Exception as err:  # whatever it is, the watch must outlive it
             # One that is too busy or away leaves the version good; one that answers oddly does not.
             busy = isinstance(err, aiohttp.ClientResponseError) and err.status >= 500
-            self.held = self.held and (busy or isinstance(err, OSError | TimeoutError))
+            self.silent = isinstance(err, OSError | TimeoutError | aiohttp.ClientConnectionError)
+            self.held = self.held and (busy or self.silent)
             log.warning("discovery: %s %s; the last list stays", type(err).__name__, err)
             self.failed()
             return False
+        self.silent = False
         return True
 
     async def run(self) -> None:
         pause = BACKOFF_LEAST
         while True:
-            if self.held:  # at once after the last answer: past 200 ms it would be a new watch
-                done = await self.attempt({"index": self.version, "wait": int(WAIT * 1000)}, WAIT + ANSWER)
-            else:
-                done = await self.attempt({}, ANSWER)
+            if not self.held:
+                done = await self.attempt({}, self.limit)
+            elif self.silent:
+                done = await self.attempt({"index": self.version, "wait": 1}, self.limit)
+            else:  # at once after the last answer: past 200 ms it would be a new watch
+                watch = {"index": self.version, "wait": int(WAIT * 1000)}
+                done = await self.attempt(watch, WAIT + self.limit)
             if done:
                 pause = BACKOFF_LEAST
             else:  # gateways that failed together must not come again together
-                await asyncio.sleep(pause * (0.5 + random.random()))
+                most = min(pause, self.pause) if self.silent else pause
+                await asyncio.sleep(most * (0.5 + random.random()))
                 pause = min(BACKOFF_MOST, 2 * pause)
 
     def watch(self, on: bool) -> None:
@@ -86,7 +100,7 @@
             self.watching = None
 
     def fetch(self) -> None:
-        task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, ANSWER))
+        task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, self.limit))
         self.fetching.add(task)
         task.add_done_callback(self.fetching.discard)
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -114,7 +114,8 @@
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
-                                   self.list_failed, held=bool(config.known.hosts.hosts))
+                                   self.list_failed, bool(config.known.hosts.hosts),
+                                   self.settings.rules.drain_grace)
         self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
@@ -143,7 +144,8 @@
         if self.counter and config.counter:
             self.counter.move(config.counter)
         replaced = self.discovery
-        self.discovery = Discovery(config.discovery, replaced.version, self.listed, self.list_failed)
+        self.discovery = Discovery(config.discovery, replaced.version, self.listed, self.list_failed,
+                                   grace=self.settings.rules.drain_grace)
         if replaced.watching:  # the watch begins with the whole list: another service has versions of its own
             self.discovery.watch(True)
         ending = self.loop.create_task(replaced.close())
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -130,3 +130,51 @@
         assert all(call["index"] in ("0", "1") for call in calls)
         assert node.discovery.busy == 0
         assert await node.ask(command()) == SERVED
+
+
+@pytest.mark.parametrize("grace", [0.3, 0.7, 1.0, 2.0])
+@on_loop
+async def test_news_of_an_agent_that_comes_back_are_heard_within_the_grace(grace, monkeypatch):
+    """In the time that calls and pauses take by their own figures, at worst: nothing answers."""
+    now, calls = 0.0, []
+
+    async def silent(self, params, limit):
+        nonlocal now
+        calls.append((now, params, limit))
+        if len(calls) == 30:
+            raise asyncio.CancelledError
+        now += limit
+        raise TimeoutError
+
+    async def sleep(seconds):
+        nonlocal now
+        now += seconds
+
+    monkeypatch.setattr(discovery.Discovery, "get", silent)
+    monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
+    monkeypatch.setattr(discovery.random, "random", lambda: 1.0)
+    watch = discovery.Discovery(("127.0.0.1", 1), 7, print, lambda: None, True, grace)
+    with pytest.raises(asyncio.CancelledError):
+        await watch.run()
+    began = [at for at, _, _ in calls]
+    assert calls[0][1] == {"index": 7, "wait": int(discovery.WAIT * 1000)}
+    assert began[1] < discovery.WAIT + 2.0 - 0.5  # what it missed counts as told 2 s after its wait is over
+    assert all(params == {"index": 7, "wait": 1} for _, params, _ in calls[1:])
+    assert max(b - a for a, b in zip(began[1:], began[2:], strict=False)) < grace
+
+
+@on_loop
+async def test_a_silent_watch_is_given_up_when_its_time_is_over_not_at_the_next_whole_second(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.discovery.changes.put_nowait([])  # ends the watch that the start began
+        node.discovery.silent = True
+        while node.discovery.calls.qsize():
+            node.discovery.calls.get_nowait()
+        loop = asyncio.get_running_loop()
+        limit = discovery.WAIT + discovery.ANSWER
+        await asyncio.sleep(1.0 - (loop.time() + limit) % 1.0 + 0.02)  # it is over just past a whole second
+        given_up = asyncio.create_task(node.node.discovery.attempt({"index": 1, "wait": 5000}, limit))
+        late = loop.create_future()
+        loop.call_later(limit + 0.6, late.set_result, None)
+        await asyncio.wait([given_up, late], return_when=asyncio.FIRST_COMPLETED)
+        assert given_up.done() and not late.done()
