See a client leave whose connection is not read or cannot be flushed

Seen by reading, shown by tests: a client that sends 512 commands at once and closes is not noticed until a command of it is answered, up to its longest deadline; neither is one that has answers still to take. Till then what it waits for goes on to font servers, and from 0.3 s after it left that is not allowed. Ruled out: a connection that is read and flushed ends its requests in the turn in which its end is read. A half close is taken for a leaving, as before: the two look alike until something is written. At fault: clients.py, `throttle` stops reading, and the end stands behind the bytes that are not read; on an end that is read uvloop calls connection_lost only when the write buffer is empty, which may be never.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import fcntl
+import select
 import termios
 from collections import deque
 from time import monotonic
@@ -20,8 +21,10 @@
 ENDING = 1.0  # s that a closing connection has for its last bytes: its client may never read them
 STUCK = 5.0  # s without the client taking its answers: it may never do so
 SWEEP = 0.25  # s between looks for those
+LOOK = 0.1  # s between looks at connections that are not read: a request of a client that left ends by 0.3 s
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
 MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FAILED = b"-ERR failed\r\n"
 
 
@@ -55,13 +58,30 @@
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
+        self.leave()
         self.server.left(self)
+
+    def eof_received(self) -> None:
+        """The client has closed. What it still waits for ends now, not only once what was written to it has
+        been taken, which may be never."""
+        if not self.broken:
+            self.leave()
+
+    def leave(self) -> None:
+        self.closing = True
         pending, self.pending = self.pending, deque()
         for slot in pending:
             if slot.answer is None:
                 self.server.handler.gone(slot)
 
+    def look(self) -> None:
+        """Sees a client leave whose connection is not read: its end stands behind bytes that nobody takes."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        if any(seen & LEFT for _, seen in poll.poll(0)):
+            self.leave()
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         if self.broken:
             self.dropped += len(data)
@@ -148,7 +168,12 @@
         flooded = self.paused or len(self.pending) >= MOST_PENDING
         if flooded != self.flooded and not self.transport.is_closing():
             self.flooded = flooded
-            self.transport.pause_reading() if flooded else self.transport.resume_reading()
+            if flooded:
+                self.transport.pause_reading()
+                self.server.unread.add(self)
+            else:
+                self.transport.resume_reading()
+                self.server.unread.discard(self)
 
 
 class ClientServer:
@@ -161,13 +186,16 @@
         self.idle: dict[Client, float] = {}  # since when, oldest first
         self.ending: dict[Client, float] = {}
         self.stuck: dict[Client, float] = {}
+        self.unread: set[Client] = set()  # those that are not read for now
         self.listener: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.looks: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
         self.sweep()
+        self.look()
         return self.listener.sockets[0].getsockname()[1]
 
     def joined(self, client: Client) -> None:
@@ -194,6 +222,7 @@
     def left(self, client: Client) -> None:
         self.clients.discard(client)
         self.hold(client, 0)
+        self.unread.discard(client)
         for place in (self.idle, self.ending, self.stuck):
             place.pop(client, None)
 
@@ -217,6 +246,11 @@
             for client in [c for c, since in place.items() if since < now - most]:
                 client.transport.abort()
 
+    def look(self) -> None:
+        self.looks = asyncio.get_running_loop().call_later(LOOK, self.look)
+        for client in [c for c in self.unread if not c.transport.is_closing()]:
+            client.look()
+
     def finish(self) -> None:
         """No new connections; each one that there is closes once all it asked has been answered."""
         if self.listener:
@@ -225,5 +259,6 @@
             client.close_when_done()
 
     def close(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.looks):
+            if timer is not None:
+                timer.cancel()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -175,3 +175,51 @@
         done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
         assert [task.result() for task in done] == [b"-ERR too much in work\r\n"]
         assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_a_client_that_sent_much_and_left_is_noticed_though_it_is_not_read(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        class Mute:
+            def handle(self, now, event):
+                return []
+
+        node.node.module = Mute()
+        _, writer = await node.connect()
+        for n in range(clients.MOST_PENDING):
+            writer.write(command(b"r%d" % n, terms=terms(d="600000")))
+        while not (there := list(node.node.clients.clients)) or len(there[0].pending) < clients.MOST_PENDING:
+            await asyncio.sleep(0)
+        assert there[0].flooded
+        writer.write(command(b"unread"))
+        writer.close()
+        while node.node.works or node.node.clients.clients:  # long before any of their deadlines
+            await asyncio.sleep(0)
+        assert not node.node.clients.unread
+
+
+@on_loop
+async def test_a_client_that_left_with_answers_not_taken_has_its_requests_ended(tmp_path, monkeypatch):
+    """Its connection cannot be flushed, so it is not lost to the loop for a while yet."""
+    monkeypatch.setattr(clients, "STUCK", 600.0)
+    async with StubHost(b"*3\r\n$20000\r\n%s\r\n$-1\r\n$-1\r\n" % (b"v" * 20000)) as host:
+        async with Node(host, path=tmp_path) as node:
+            _, writer = await node.connect()
+            writer.transport.pause_reading()
+            served, client = 0, None
+            while client is None or not client.transport.get_write_buffer_size():
+                writer.write(command(b"r%d" % served))
+                served += 1
+                while len(host.commands) < served or client is None or client.pending:
+                    await asyncio.sleep(0)
+                    (client,) = node.node.clients.clients
+                await asyncio.sleep(0)
+            host.answer = None
+            writer.write(command(b"waits", terms=terms(d="600000")))
+            while not client.pending:
+                await asyncio.sleep(0)
+            assert not client.flooded  # it is read, and its end is seen
+            writer.write_eof()  # half closed, as the end of one that leaves looks at first
+            while node.node.works:
+                await asyncio.sleep(0)
+            assert client.transport.get_write_buffer_size()
