At the end serve what lies unread, and end before the kill of short deadlines

Tests show the rest: bytes unread when idle connections are closed, bytes behind the last answer, connections that the machine has accepted and the loop has not, and a request on a connection that is still open after SIGKILL would have come, where the longest deadline is under 3 s (SIGKILL at 1.3 s for 0.6 s). At fault: clients.py, `finish` and `end` close without looking for unread bytes, and `finish` closes the listener when the timer says so, before the loop came round to it; gateway.py, FINISH = 3.4 s is right for deadlines of 3 s and more only, and `stop` returns once all is answered, though a client may still have to take it. Now: a connection is closed only where nothing on it is unread; the listener closes when it has nothing to accept; the time to finish is that of the protocol page with the settings' longest deadline; `stop` waits within it until all connections are closed, then refuses at once what still comes.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -23,6 +23,7 @@
 SWEEP = 0.25  # s between looks for those
 LOOK = 0.1  # s between looks at connections that are not read: a request of a client that left ends by 0.3 s
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
+MOST_TURNS = 16  # of the loop, in which it accepts what waits at the listener; without descriptors it cannot
 MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FAILED = b"-ERR failed\r\n"
@@ -102,6 +103,8 @@
             self.fail(b"-ERR too much in work\r\n")
             return
         self.throttle()
+        if self.closing and not self.pending:
+            self.end()
 
     def fail(self, answer: bytes) -> None:
         """Nothing that follows can be read. What is in work is failed: the client is not to wait for it."""
@@ -147,8 +150,14 @@
             self.throttle()
 
     def end(self) -> None:
+        if self.transport.is_closing():
+            return
+        if not self.broken and (self.partial or self.unread()):
+            self.server.idle.setdefault(self, monotonic())  # what has come was taken: it is answered first
+            return
+        self.server.idle.pop(self, None)
         self.server.ending.setdefault(self, monotonic())
-        if self.broken and not self.transport.is_closing():
+        if self.broken:
             self.transport.write_eof()  # closing with input unread would be a reset, which can eat the error
         else:
             self.transport.close()
@@ -251,10 +260,20 @@
         for client in [c for c in self.unread if not c.transport.is_closing()]:
             client.look()
 
+    async def no_more(self) -> None:
+        """No new connections, but for those that the machine has accepted by now: what they ask was taken."""
+        if self.listener is None:
+            return
+        poll = select.poll()
+        poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
+        for _ in range(MOST_TURNS):
+            if not poll.poll(0):
+                break
+            await asyncio.sleep(0)
+        self.listener.close()
+
     def finish(self) -> None:
-        """No new connections; each one that there is closes once all it asked has been answered."""
-        if self.listener:
-            self.listener.close()
+        """Each connection that there is closes once all it asked has been answered."""
         for client in list(self.clients):
             client.close_when_done()
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -30,7 +30,9 @@
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
-FINISH = 3.4  # s after SIGTERM by which everything is answered: SIGKILL is not far
+KILL_MOST, KILL_MORE = 3.0, 0.7  # s to SIGKILL: the longest deadline, so long at most, and as much more
+KILL_MARGIN = 0.3  # s before SIGKILL by which everything is answered
+LAST_WORDS, STEP = 0.1, 0.01  # s for the last answers to be written; between looks whether all is done
 
 BUSY = b"-BUSY\r\n"
 PONG = b"+PONG\r\n"
@@ -105,8 +107,9 @@
         self.works: dict[str, Work] = {}
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
-        self.feeding = self.ready = self.stopping = False
-        self.done = asyncio.Event()  # stopping, and nothing is in work
+        self.feeding = self.ready = self.stopping = self.ended = False
+        longest = max(cls.deadline for cls in self.settings.classes.values())
+        self.finish_time = min(longest, KILL_MOST) + KILL_MORE - min(KILL_MARGIN, longest / 2)
         room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
         # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
         self.most_held = max(LEAST_HELD, (config.memory - OWN_MEMORY) // 4)
@@ -232,7 +235,7 @@
         request = self.read_request(command, write)
         if request.id in self.works:
             raise BadRequest("this id is in work")
-        if len(self.works) >= self.config.max_open or self.held > self.most_held:
+        if self.ended or len(self.works) >= self.config.max_open or self.held > self.most_held:
             slot.reply(BUSY)
             return
         now = time.monotonic()
@@ -300,8 +303,6 @@
     def forget(self, work: Work) -> None:
         if work.over and not work.live and self.works.pop(work.id, None):
             self.held -= len(work.command[-1])
-            if self.stopping and not self.works:
-                self.done.set()
 
     # Actions
 
@@ -376,22 +377,25 @@
     # The end
 
     async def stop(self) -> None:
-        """After SIGTERM: goes on while connections still come, then finishes what it has taken."""
+        """After SIGTERM: goes on while connections still come, then finishes what it has taken. Clients send
+        on each connection that is open, so each is closed where nothing on it is in work or unread."""
         began = time.monotonic()
         self.stopping = True
         await asyncio.sleep(LINGER)
+        await self.clients.no_more()
         self.clients.finish()
-        if self.works:
-            self.done.clear()
-            try:
-                async with asyncio.timeout(began + FINISH - time.monotonic()):
-                    await self.done.wait()
-            except TimeoutError:
-                for work in list(self.works.values()):
-                    self.abandon(work)
-        await asyncio.sleep(0)  # the last answers are written at the end of this turn
+        await self.idle(began + self.finish_time)
+        self.ended = True  # what is taken from now on is refused at once
+        for work in list(self.works.values()):
+            self.abandon(work)
+        await self.idle(time.monotonic() + LAST_WORDS)
         self.clients.close()
         self.hosts.close()
         if self.counter:
             self.counter.close()
         await asyncio.gather(self.discovery.close(), *self.endings)
+
+    async def idle(self, until: float) -> None:
+        """Waits for nothing to be in work, and all answers to be written and their connections closed."""
+        while (self.works or self.clients.clients) and time.monotonic() < until:
+            await asyncio.sleep(STEP)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
@@ -223,3 +224,56 @@
             while node.node.works:
                 await asyncio.sleep(0)
             assert client.transport.get_write_buffer_size()
+
+
+def blocking(node, text):
+    """A client that has connected and sent `text` before the gateway's loop turns once more."""
+    client = socket.create_connection(("127.0.0.1", node.port))
+    client.sendall(text)
+    client.setblocking(False)
+    return client
+
+
+async def take(client):
+    """All that a client gets to the end of its connection."""
+    got, loop = b"", asyncio.get_running_loop()
+    while data := await loop.sock_recv(client, 65536):
+        got += data
+    client.close()
+    return got
+
+
+@on_loop
+async def test_what_was_sent_before_an_idle_connection_is_closed_is_served(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        client = blocking(node, b"")
+        while not node.node.clients.clients:
+            await asyncio.sleep(0)
+        client.send(command())  # lies unread
+        node.node.clients.finish()
+        assert await take(client) == SERVED
+
+
+@on_loop
+async def test_a_command_behind_the_last_answer_is_served_before_the_close(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        client = blocking(node, command(b"first"))
+        await host.arrived.get()
+        node.node.clients.finish()
+        (work,) = node.node.works.values()
+        client.send(command(b"second"))  # lies unread
+        host.answer = VALUE
+        node.node.finish(work, SERVED)
+        assert await take(client) == SERVED * 2
+
+
+@on_loop
+async def test_connections_that_wait_at_the_listener_are_served_at_the_end(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        asked = [blocking(node, command(b"r%d" % n)) for n in range(8)]
+        assert not node.node.clients.clients
+        await node.node.clients.no_more()
+        node.node.clients.finish()
+        assert [await take(client) for client in asked] == [SERVED] * 8
+        with pytest.raises(ConnectionError):
+            blocking(node, b"")
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
+from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
 
 from calicomast import interface as api
 from calicomast.net import gateway
@@ -125,6 +125,49 @@
 
 
 
+@on_loop
+async def test_the_end_comes_before_the_kill_that_follows_the_longest_deadline(tmp_path):
+    deadline = 0.6
+    settings = SETTINGS | {"services": [c | {"deadline": int(deadline * 1e9)} for c in SETTINGS["services"]]}
+    async with StubHost(answer=None) as host, Node(host, path=tmp_path, settings=settings) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"before", terms=terms(d="20000")))
+        await host.arrived.get()
+        killed = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_later(deadline + 0.7, killed.set_result, None)
+        ending = asyncio.create_task(node.node.stop())
+        while node.node.clients.listener.is_serving():
+            await asyncio.sleep(0)
+        writer.write(command(b"after", terms=terms(d="20000")))  # on a connection that is open still
+        assert [await read_reply(reader) for _ in range(3)] == [b"-ERR failed\r\n"] * 2 + [b""]
+        await ending
+        assert not killed.done()
+
+
+@on_loop
+async def test_the_end_waits_for_answers_to_be_taken(tmp_path):
+    value = b"$60000\r\n%s\r\n" % (b"v" * 60000)
+    async with StubHost(b"*3\r\n%s$-1\r\n$-1\r\n" % value) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.transport.pause_reading()
+        asked = 0
+        while not (there := node.node.clients.clients) or not any(c.paused for c in there):
+            writer.write(command(b"r%d" % asked))
+            asked += 1
+            await asyncio.sleep(0.001)
+        ending = asyncio.create_task(node.node.stop())
+        while node.node.clients.listener.is_serving() or node.node.works:
+            await asyncio.sleep(0)
+        for _ in range(1000):  # turns, in which all that does not wait for the client comes to its end
+            await asyncio.sleep(0)
+        assert not ending.done()
+        writer.transport.resume_reading()
+        taken = [await read_reply(reader) for _ in range(asked + 1)]
+        assert set(taken[:-1]) <= {value, b"-BUSY\r\n"} and taken[-1] == b"" and value in taken
+        await ending
+        assert not node.node.clients.clients and not node.node.works
+
+
 
 @on_loop
 async def test_a_second_copy_is_not_sent_where_it_is_not_allowed(tmp_path):
