Give a command that begins as its connection's idle time ends the time to come whole

Seen by reading, shown by a test: a request that comes in two packets, the first of them just before the connection has been idle for 2.2 s, is answered "-ERR command not finished in time", as a slow bad client is. Ruled out: the close of a connection with nothing on it, which looks for unread bytes first. At fault: clients.py, `expire` counts the time of half a command from the last answer, not from its first byte. Now: half a command has 0.5 s at least. A bad client that connects and sends its half late is still answered within the 3 s of connecting that it is owed.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -21,6 +21,7 @@
 ENDING = 1.0  # s that a closing connection has for its last bytes: its client may never read them
 STUCK = 5.0  # s without the client taking its answers: it may never do so
 SWEEP = 0.25  # s between looks for those
+HALF = 0.5  # s that half a command has at least, though the idle time of its connection is over
 LOOK = 0.1  # s between looks at connections that are not read: a request of a client that left ends by 0.3 s
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
 MOST_TURNS = 16  # of the loop, in which it accepts what waits at the listener; without descriptors it cannot
@@ -51,6 +52,7 @@
         self.framing = Framing()
         self.pending: deque[Slot] = deque()
         self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
+        self.began = 0.0  # when the half command did
         self.closing = self.broken = self.paused = self.flooded = False
         self.transport: asyncio.Transport
 
@@ -99,6 +101,8 @@
         except FramingError:
             self.fail(b"-ERR protocol error\r\n")
             return
+        if not self.partial and self.framing.buffer:
+            self.began = monotonic()
         if not self.server.hold(self, len(self.framing.buffer)):
             self.fail(b"-ERR too much in work\r\n")
             return
@@ -122,7 +126,8 @@
         if self.transport.is_closing() or self.unread():
             return  # it has gone, or asks just now
         if self.partial:
-            self.fail(b"-ERR command not finished in time\r\n")
+            if self.began < monotonic() - HALF:
+                self.fail(b"-ERR command not finished in time\r\n")
         else:
             self.close_when_done()
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -277,3 +277,24 @@
         assert [await take(client) for client in asked] == [SERVED] * 8
         with pytest.raises(ConnectionError):
             blocking(node, b"")
+
+
+@on_loop
+async def test_a_command_in_two_parts_crosses_the_end_of_the_idle_time(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        text, (reader, writer) = command(), await node.connect()
+        writer.write(text[:9])
+        while not (there := list(node.node.clients.clients)) or not there[0].partial:
+            await asyncio.sleep(0)
+        (client,), server = there, node.node.clients
+        server.idle[client] -= clients.IDLE  # as if the first part had come at its end
+        server.sweep()
+        writer.write(text[9:])
+        assert await read_reply(reader) == SERVED
+        writer.write(text[:9])
+        while not client.partial:
+            await asyncio.sleep(0)
+        server.idle[client] -= clients.IDLE
+        client.began -= clients.HALF
+        server.sweep()
+        assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
