Tell a thin customer that is refused to come back when another try can pass

So refusals hold no customer back for long. Ruled out: that longer times cost what is served: what a store refills meanwhile goes to the tries that come. At fault: policy.py, `decide` tells the time to the next unit though hundreds of others wait for the same one, and `unasked` tells none. Now: a thin customer found at its end is told a refill of its burst, and a try refused unasked the same, but for half of its aim at most, in which the next one can still be served; the settings' limit holds as before.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -14,7 +14,18 @@
 from dataclasses import dataclass, field
 
 from calicomast import interface as api
-from calicomast.quota import CHARGE_AT, CROWDED, GAIN, QUICK, Account, Call, Counter, PlanUse, stable_hash
+from calicomast.quota import (
+    CHARGE_AT,
+    CROWDED,
+    FULL_BURSTS,
+    GAIN,
+    QUICK,
+    Account,
+    Call,
+    Counter,
+    PlanUse,
+    stable_hash,
+)
 
 TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
 RESERVE = 0.2  # share of a burst kept from the class worth least a unit, for the one worth most
@@ -404,7 +415,8 @@
         if self.take_units(now, job):
             return
         if now < acct.full_until or self.spare(now, job) < 0:
-            self.beyond(now, job, (job.req.units - room) / acct.plan.rate)
+            full = acct.thin and now - acct.found_full < FULL_BURSTS * acct.refill
+            self.beyond(now, job, acct.refill if full else (job.req.units - room) / acct.plan.rate)
         elif ask and self.counter.usable(now):
             acct.waiting.append(job.req.id)
             self.look(now + 2 * self.counter.timeout + TICK, job)
@@ -419,7 +431,7 @@
             job.acct.used += units
             self.want_slot(now, job)
         else:
-            self.beyond(now, job, 0.0)
+            self.beyond(now, job, min(job.acct.refill, QUEUE_HOLD * job.cls.aim))
 
     def renew(self, now: float, acct: Account, factor: float = 1.0) -> None:
         if acct.call is not None or not self.counter.usable(now):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -436,3 +436,26 @@
     assert [(c.name, c.amount) for c in of(answers[0], api.Count)] == [(this, 1.0), (last, 0.0), (this, 24.0)]
     assert of(answers[0], api.Send) and of(answers[1], api.Refuse) and of(answers[2], api.Refuse)
     assert counts[this] >= 25.0
+
+
+def thin(**kw):
+    """A gateway of many, and a customer whose even part of the burst is less than a unit."""
+    return World(settings(gateways=20, limits={"max_retry_after": 60.0}, **kw))
+
+
+def test_a_thin_customer_found_at_its_end_is_told_to_come_back_after_a_refill():
+    w = thin()
+    w.ask(spread=20)
+    acct = w.gw.accounts["c"]
+    w.counts = {stable_hash("c", acct.k): 60.0}
+    told = [r.retry_after for _ in range(4) for r in of(w.ask(spread=20)[1], api.Refuse)]
+    assert len(told) >= 3 and told[-1] == acct.refill == 4.0
+
+
+def test_a_try_refused_unasked_is_told_when_to_come_back():
+    w = thin()
+    for use in w.gw.uses.values():
+        use.share = 0.01  # next to nothing was granted at any level
+    w.mode = "refuse"
+    told = [r.retry_after for n in range(9) for r in of(w.ask(customer=f"c{n}", spread=20)[1], api.Refuse)]
+    assert told and set(told) == {0.5}  # half of the aim, in which another try can come in time
