Answer requests of a class or plan that is worth nothing

At fault: policy.py, `want_units` divides by the chance of a call, which is 0 where nothing can be gained by one. Now: a call stands for SAMPLE_MOST tries at most, by the bound of the divisor; the figure is the same else.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -408,7 +408,8 @@
         gain = job.worth / max(self.worth, 1e-9) * min(use.share, use.mistake(job.plan))
         chance = self.counter.chance(gain)
         self.decide(now, job, self.rng.random() < chance)
-        self.renew(now, job.acct, min(SAMPLE_MOST, 1 / chance))  # it stands for those that pass unasked too
+        # It stands for those that pass unasked too.
+        self.renew(now, job.acct, 1 / max(chance, 1 / SAMPLE_MOST))
 
     def decide(self, now: float, job: Job, ask: bool) -> None:
         acct, room = job.acct, job.acct.room(now)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -459,3 +459,9 @@
     w.mode = "refuse"
     told = [r.retry_after for n in range(9) for r in of(w.ask(customer=f"c{n}", spread=20)[1], api.Refuse)]
     assert told and set(told) == {0.5}  # half of the aim, in which another try can come in time
+
+
+def test_a_class_of_no_worth_is_answered():
+    none = api.ServiceClass("read", 1.0, 3.0, "safe", "all", 5.0, 0.0, 0.0, False, 0.0)
+    w = thin(classes={"read": none})
+    assert [a for n in range(30) for a in w.ask(customer=f"c{n}", spread=20)[1] if isinstance(a, api.Send)]
