Hold a connection to the counter dead by its calls' time-out, not by half a second

Seen by reading for constants that assume this site, shown by a test: with a time-out of 2 s in the settings every connection is made anew 0.5 s after a call that the counter has not answered yet, and its answer is lost. At fault: counter.py, SILENT. Now: twice the time-out, half a second at least.

--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -15,7 +15,7 @@
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
 CHECK = 0.25  # s between looks for silent and idle connections
-SILENT = 0.5  # s without an answer that was due, after which a connection is held dead and made anew
+SILENT, SILENT_CALLS = 0.5, 2.0  # s, or times a call's time-out, without an answer: the connection is dead
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
 PING = -1  # in place of a name
 MOST_LINE = 4096  # bytes of an answer
@@ -45,7 +45,8 @@
 class Line(asyncio.Protocol):
     """One connection, made again whenever it is lost."""
 
-    def __init__(self, address: Address, up: Callable[[Line], None]) -> None:
+    def __init__(self, address: Address, up: Callable[[Line], None], silent: float) -> None:
+        self.silent = silent  # s without an answer after which it is made anew
         self.address, self.up, self.task = address, up, asyncio.get_running_loop().create_task(self.keep())
         self.retired = False  # another took its place: it ends with the last answer that it waits for
         self.transport: asyncio.Transport | None = None
@@ -130,9 +131,9 @@
 
     def check(self) -> None:
         now = monotonic()
-        if self.calls and now - self.calls[0].started > SILENT:
+        if self.calls and now - self.calls[0].started > self.silent:
             # A machine that vanished says nothing, and its connections stay open for good.
-            log.warning("counter: no answer for %.1f s, connecting again", SILENT)
+            log.warning("counter: no answer for %.1f s, connecting again", self.silent)
             self.abort()
         elif not self.calls and not self.retired and now - self.used > KEEP_ALIVE:
             self.write(Call(PING, None), b"ping\r\n")
@@ -170,7 +171,7 @@
         self.task = asyncio.get_running_loop().create_task(self.checks())
 
     def line(self) -> Line:
-        return Line(self.address, self.came_up)
+        return Line(self.address, self.came_up, max(SILENT, SILENT_CALLS * self.timeout))
 
     def move(self, address: Address) -> None:
         """The counter is elsewhere. Each line is used until the one that replaces it is up."""
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -166,3 +166,26 @@
             await asyncio.sleep(0)
         node.node.clock = lambda: now + 20
         assert sum([await ask(1000 + n) for n in range(20)]) > 15
+
+
+@on_loop
+async def test_a_connection_is_not_held_dead_while_a_call_has_time(tmp_path):
+    patient = SETTINGS | {"specifics": SETTINGS["specifics"] | {"counter_timeout": 2_000_000_000}}
+    async with StubHost() as host, Node(host, path=tmp_path, settings=patient) as node:
+        counter, results = node.node.counter, asyncio.Queue()
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0)
+        node.counter.silent = True
+        counter.add(8, 1, 4, lambda name, *told: results.put_nowait(told[:2]))
+        await node.counter.arrived.get()
+        (line,) = [line for line in counter.lines if line.calls and line.calls[0].name == 8]
+        line.calls[0].started -= 1.9
+        line.check()
+        assert not line.transport.is_closing()
+        node.counter.answer_all()
+        assert await results.get() == ("ok", 1.0)
+        counter.add(8, 1, 4, lambda name, *told: results.put_nowait(told[:2]))
+        await node.counter.arrived.get()
+        line.calls[0].started -= 4.1
+        line.check()
+        assert line.transport is None or line.transport.is_closing()
