Read on from a client that was not read before its connection is closed

Seen by reading the code of the change to the end, shown by a test: a connection that is not read since 512 of its commands are in work, and that closes once they are answered, holds the next one unread; it was neither read on nor closed until the end. At fault: clients.py, `flush` returned after `end` and before `throttle`; `end` waits for what lies unread. Now: reading goes on first.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -146,13 +146,12 @@
         while pending and (answer := pending[0].answer) is not None:
             pending.popleft()
             self.transport.write(answer)
+        if self.flooded:
+            self.throttle()
         if not pending:
             self.server.rest(self)
             if self.closing:
                 self.end()
-                return
-        if self.flooded:
-            self.throttle()
 
     def end(self) -> None:
         if self.transport.is_closing():
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -298,3 +298,29 @@
         client.began -= clients.HALF
         server.sweep()
         assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
+
+
+@on_loop
+async def test_what_a_client_not_read_for_a_while_has_sent_is_served_before_its_close(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        class Mute:
+            def handle(self, now, event):
+                return []
+
+        module, node.node.module = node.node.module, Mute()
+        reader, writer = await node.connect()
+        for n in range(clients.MOST_PENDING):
+            writer.write(command(b"r%d" % n))
+        while not node.node.clients.unread:
+            await asyncio.sleep(0)
+        (client,) = node.node.clients.unread
+        writer.write(command(b"last"))
+        while not client.unread():
+            await asyncio.sleep(0)
+        node.node.module = module
+        node.node.clients.finish()
+        for work in list(node.node.works.values()):
+            node.node.finish(work, SERVED)
+        assert [await read_reply(reader) for _ in range(clients.MOST_PENDING + 2)] == (
+            [SERVED] * (clients.MOST_PENDING + 1) + [b""])
+        assert [c[2] for c in host.commands] == [b"last"]
