Let the test of a client that was not read fail without its fix

The answers now come in the reverse order, so that the first releases all the others at once; in order each answer makes room, and the test passed without the change to flush too, as a check by reverting it showed.

--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -319,7 +319,7 @@
             await asyncio.sleep(0)
         node.node.module = module
         node.node.clients.finish()
-        for work in list(node.node.works.values()):
+        for work in list(node.node.works.values())[::-1]:  # so that the first releases all the others
             node.node.finish(work, SERVED)
         assert [await read_reply(reader) for _ in range(clients.MOST_PENDING + 2)] == (
             [SERVED] * (clients.MOST_PENDING + 1) + [b""])
