--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -92,16 +92,18 @@
                 self.transport.abort()
             return
         self.framing.feed(data)
+        begins = not self.partial
         try:
             while (command := self.framing.take()) is not NO_MESSAGE:
                 slot = Slot(self)
                 self.pending.append(slot)
                 self.server.idle.pop(self, None)
+                begins = True
                 self.server.handler.command(slot, command)
         except FramingError:
             self.fail(b"-ERR protocol error\r\n")
             return
-        if not self.partial and self.framing.buffer:
+        if begins and self.framing.buffer:
             self.began = monotonic()
         if not self.server.hold(self, len(self.framing.buffer)):
             self.fail(b"-ERR too much in work\r\n")
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -289,12 +289,15 @@
         (client,), server = there, node.node.clients
         server.idle[client] -= clients.IDLE  # as if the first part had come at its end
         server.sweep()
-        writer.write(text[9:])
+        client.began -= clients.HALF
+        writer.write(text[9:] + text[:9])  # the next one's time begins with its own first part
         assert await read_reply(reader) == SERVED
-        writer.write(text[:9])
-        while not client.partial:
+        while not client.partial or client not in server.idle:
             await asyncio.sleep(0)
         server.idle[client] -= clients.IDLE
+        server.sweep()
+        assert not client.closing
+        server.idle[client] -= clients.IDLE
         client.began -= clients.HALF
         server.sweep()
         assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
