--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -4,10 +4,11 @@
 import json
 
 import pytest
-from netkit import SERVED, Node, StubHost, command, entry, on_loop
+from netkit import SERVED, Node, StubDiscovery, StubHost, command, entry, on_loop, told
 
 from calicomast import interface as api
 from calicomast.net import discovery
+from calicomast.net.config import read_config
 from calicomast.net.listing import read_list
 
 
@@ -178,3 +179,21 @@
         loop.call_later(limit + 0.6, late.set_result, None)
         await asyncio.wait([given_up, late], return_when=asyncio.FIRST_COMPLETED)
         assert given_up.done() and not late.done()
+
+
+@on_loop
+async def test_an_old_watch_tells_nothing_once_the_configuration_names_another(tmp_path):
+    async with (StubHost() as old, StubHost() as new, StubDiscovery() as next_one,
+                Node(old, path=tmp_path) as node):
+        next_one.servers = [entry(new, "h2")]
+        while "index" not in await node.discovery.calls.get():
+            pass
+        file = tmp_path / "next.json"
+        file.write_text(json.dumps(told([], next_one.port, node.counter.port)))
+        node.node.reload(read_config({"RELAY_CONFIG": str(file)}, again=True))
+        node.discovery.changes.put_nowait([entry(old, "h1")])  # the old watch's answer crosses the change
+        while "index" not in await next_one.calls.get():
+            pass
+        for _ in range(1000):  # turns, far more than an answer that is out takes to be told
+            await asyncio.sleep(0)
+        assert set(node.node.hosts.pools) == {"h2"}
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -5,6 +5,7 @@
 import math
 import os
 import socket
+import struct
 import time
 
 import pytest
@@ -311,3 +312,92 @@
     assert 0.3 < staleness.limit < 0.9
     staleness.fade(300.0)
     assert staleness.limit == math.inf  # tried again in time
+
+
+class RawHost:
+    """A host at the level of its sockets. `arrived` gets each connection that the gateway opens to it."""
+
+    def __init__(self, receive=None):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        if receive:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+
+    async def accept(self):
+        conn, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        return conn
+
+    @staticmethod
+    def reset(conn):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+
+
+def first(name):
+    """A module's part: each request goes to `name`, and to the other host where it surely never ran."""
+    class Module:
+        results = []
+
+        def handle(self, now, event):
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, name)]
+            if isinstance(event, api.Outcome) and not event.final:
+                self.results.append(event.result)
+                never = event.result in ("connect_failed", "full")
+                return [api.Send(event.id, "h2") if never else api.Fail(event.id)]
+            return []
+
+    return Module()
+
+
+@on_loop
+async def test_a_reset_between_the_look_and_the_write_never_ran(tmp_path, monkeypatch):
+    monkeypatch.setattr(hosts, "REST", 0.0)
+    raw, loop = RawHost(), asyncio.get_running_loop()
+    async with StubHost() as other, Node(raw, other, path=tmp_path) as node:
+        node.node.module = module = first("h1")
+        asked = asyncio.create_task(node.ask(command(b"a")))
+        conn = await raw.accept()
+        await loop.sock_recv(conn, 65536)
+        await loop.sock_sendall(conn, VALUE)
+        assert await asked == SERVED
+        look = hosts.Connection.quiet
+
+        def crossed(self):
+            quiet = look(self)
+            raw.reset(conn)
+            return quiet
+
+        monkeypatch.setattr(hosts.Connection, "quiet", crossed)
+        assert await node.ask(write(cls=b"note")) == SERVED
+        assert module.results == ["connect_failed"] and len(other.commands) == 1
+
+
+@pytest.mark.parametrize("read, result, answer", [(False, "connect_failed", SERVED),
+                                                  (True, "reset", b"-ERR failed\r\n")])
+@on_loop
+async def test_a_request_may_have_run_from_its_last_byte_on(read, result, answer, tmp_path, monkeypatch):
+    made = hosts.Connection.connection_made
+
+    def narrow(self, transport):
+        made(self, transport)
+        with self.borrowed() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    monkeypatch.setattr(hosts.Connection, "connection_made", narrow)
+    raw, loop = RawHost(receive=4096), asyncio.get_running_loop()
+    async with StubHost() as other, Node(raw, other, path=tmp_path) as node:
+        node.node.module = module = first("h1")
+        terms = b"c=note,t=p,d=3000,units=1,spread=1,first=0"
+        asked = asyncio.create_task(node.ask(command(b"r1", terms, b"API.WRITE", body=b"x" * 60_000)))
+        conn, got = await raw.accept(), b""
+        while not node.node.hosts.conns or all(c.written for c in node.node.hosts.conns):
+            await asyncio.sleep(0)  # until a part of it is out
+        while read and not got.endswith(b"x" * 60 + b"\r\n"):
+            got += await loop.sock_recv(conn, 65536)
+        while read and not all(c.written for c in node.node.hosts.conns):
+            await asyncio.sleep(0)
+        raw.reset(conn)
+        assert await asked == answer
+        assert module.results == [result] and len(other.commands) == (not read)
