--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -191,9 +191,9 @@
         file = tmp_path / "next.json"
         file.write_text(json.dumps(told([], next_one.port, node.counter.port)))
         node.node.reload(read_config({"RELAY_CONFIG": str(file)}, again=True))
-        node.discovery.changes.put_nowait([entry(old, "h1")])  # the old watch's answer crosses the change
         while "index" not in await next_one.calls.get():
-            pass
+            pass  # the new list was told, and its watch is open
+        node.discovery.changes.put_nowait([entry(old, "h1")])
         for _ in range(1000):  # turns, far more than an answer that is out takes to be told
             await asyncio.sleep(0)
         assert set(node.node.hosts.pools) == {"h2"}
