Bound unasked passes only where calls are turned away, and take out the last overdraft

At fault: the counts of a counter that answers late (17% of calls without answer there) hold what was asked and never passed. Bringing them into the next window starves customers, and the share granted looks worse than it is, so the bound bound where it need not. The bound now counts what may be lost by the part of calls that is turned away: a slow or silent counter is so for a while, but one that turns calls away bears fewer than there are tries.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -34,7 +34,7 @@
 SIDE_CALL = 0.15  # worth of a call that only mends a count for others, or finds a limit seldom reached
 SAMPLE_MOST = 4.0  # a sampled charge stands for so many at most: more makes the count jump
 GRANT_PRIOR = (0.7, 0.6, 0.4, 0.2, 0.1)  # share of tries granted at each level of demand, before any was
-UNASKED_LOSS = 0.06  # of the worth that passes inside quotas, what tries that pass unasked may lose beyond
+UNASKED_LOSS = 0.015  # of the worth that passes inside quotas: see `risked`
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
 ROUNDING = 1e-4  # part of a total, seven digits of which are exact: less than that is no difference
 CALL_SPOILT = 0.9  # part of the time-out before which a call without answer was lost with its line
@@ -442,10 +442,12 @@
             self.beyond(now, job, min(job.acct.refill, QUEUE_HOLD * job.cls.aim))
 
     def risked(self, now: float, loss: float) -> bool:
-        """Whether a try may pass unasked, which loses `loss` in the mean."""
+        """Whether a try may pass unasked, which loses `loss` in the mean. What all such tries lose is bounded
+        by the part of calls that is turned away: 7.5 in 100 of what passes where that is a fifth. A counter
+        that is slow or silent is so for a while; one that turns calls away bears fewer than there are."""
         fade = math.exp((self.faded_at - now) / USE_SPAN)
         self.inside, self.risk, self.faded_at = self.inside * fade, self.risk * fade + loss, now
-        return self.rng.random() * self.risk <= UNASKED_LOSS * self.inside
+        return self.rng.random() * self.risk * self.counter.turned <= UNASKED_LOSS * self.inside
 
     def renew(self, now: float, acct: Account, factor: float = 1.0) -> None:
         if acct.call is not None or not self.counter.usable(now):
@@ -498,30 +500,19 @@
             self.settle_waiting(now, acct, event.result != "full")
         elif call.kind == "slot":
             self.slot_counted(now, event, call)
-        elif call.kind == "last":
-            acct.roll(now)
-            debt = event.total - acct.plan.rate * acct.length - acct.carried
-            if ok and call.window == acct.k and debt > 0:
-                acct.carried, acct.total, acct.put = acct.carried + debt, acct.total + debt, acct.put + debt
-                self.count(stable_hash(acct.name, acct.k), debt, 3 * acct.length,
-                           Call(acct, "void", acct.k, extra=debt))
         elif call.window == acct.k and event.result not in ("ok", "spoilt"):
             acct.put -= call.amount  # else what never came into the count would be taken for lost from it
             acct.unsure += call.amount * (event.result == "timeout")
 
     def granted(self, now: float, acct: Account, total: float, call: Call) -> None:
-        mine, extra, slack, opens = call.amount, 0.0, ROUNDING * max(1.0, total), False
+        mine, extra, slack = call.amount, 0.0, ROUNDING * max(1.0, total)
         if total < acct.put + mine - slack:  # less than what is ours alone: counts were lost; add ours again
             extra, acct.put = acct.put, 0.0  # the new count holds nothing else of ours
         elif total <= acct.put + mine + acct.unsure + slack:
             extra, acct.debt = acct.debt, 0.0  # who finds none but its own brings the overdraft along
-            opens = acct.thin and acct.opened != acct.k
         # The store holds a burst at most: what a quiet customer let run over is gone.
         surplus = max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
         extra, acct.carried = extra + surplus, acct.carried + surplus
-        if opens and not surplus:  # of the overdraft one gateway of many knows little, and the last count all
-            acct.opened = acct.k
-            self.count(stable_hash(acct.name, acct.k - 1), 0.0, 1.0, Call(acct, "last", acct.k))
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
         kept = min((self.kept(j) for j in jobs), default=0.0)
         over = min(call.ask, max(0.0, math.ceil(total + extra + kept - acct.hold(now))))
--- a/calicomast/quota.py
+++ b/calicomast/quota.py
@@ -36,7 +36,7 @@
 @dataclass(slots=True)
 class Call:
     acct: Account
-    kind: str  # units, slot, last or void
+    kind: str  # units, slot or void
     window: int
     charge: float = 0.0
     ask: float = 0.0
@@ -63,7 +63,6 @@
         self.carried = 0.0  # part of the total that is no use in this window
         self.unsure = 0.0  # amount of calls without answer: it may have been added
         self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
-        self.opened = -1  # the latest window in which this gateway was the first to count
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
         self.tries, self.tries_at, self.found_full = 0.0, now, -math.inf  # earlier tries here, faded
@@ -132,6 +131,7 @@
     def __init__(self, settings: api.Settings) -> None:
         self.on, self.timeout, self.price = settings.counter, settings.counter_timeout, settings.counter_price
         self.fails, self.retry_at = int(not self.on), 0.0
+        self.turned = 0.0  # part of the calls that is turned away
         self.slow = 0.5 * settings.gateways / (settings.gateways + CROWD_OF)  # many start as in a crowd
 
     def usable(self, now: float) -> bool:
@@ -143,6 +143,7 @@
 
     def note(self, now: float, result: str, elapsed: float) -> None:
         """A call turned away tells of a crowd: calls get dearer, but the counter is there and keeps count."""
+        self.turned += GAIN * ((result == "full") - self.turned)
         self.slow += QUICK * ((min(1.0, elapsed / self.timeout) if result == "ok" else 1.0) - self.slow)
         if result in ("ok", "full"):
             self.fails = 0
