Take out the longer times that thin customers were told

Cause, as far as it was followed: where the counter answers late most refusals are wrong, and the times keep back clients whose next try would have passed; why more calls go without an answer was not followed. Each refusal tells what it told before: the time to the next unit where that is known.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -17,7 +17,6 @@
 from calicomast.quota import (
     CHARGE_AT,
     CROWDED,
-    FULL_BURSTS,
     GAIN,
     QUICK,
     USE_SPAN,
@@ -421,8 +420,7 @@
         if self.take_units(now, job):
             return
         if now < acct.full_until or self.spare(now, job) < 0:
-            full = acct.thin and now - acct.found_full < FULL_BURSTS * acct.refill
-            self.beyond(now, job, acct.refill if full else (job.req.units - room) / acct.plan.rate)
+            self.beyond(now, job, (job.req.units - room) / acct.plan.rate)
         elif ask and self.counter.usable(now):
             acct.waiting.append(job.req.id)
             self.look(now + 2 * self.counter.timeout + TICK, job)
@@ -439,7 +437,7 @@
             job.acct.used += units
             self.want_slot(now, job)
         else:
-            self.beyond(now, job, min(job.acct.refill, QUEUE_HOLD * job.cls.aim))
+            self.beyond(now, job, 0.0)
 
     def risked(self, now: float, loss: float) -> bool:
         """Whether a try may pass unasked, which loses `loss` in the mean. What all such tries lose is bounded
