--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,8 +1,10 @@
 import random
 
+import pytest
 from helpers import World, host, of, plan, settings
 
 from calicomast import interface as api
+from calicomast.quota import stable_hash
 
 
 def served(w, tries, **kw):
@@ -416,3 +418,68 @@
         w.now = 1000.0 + k / 3.6
         passed += served(w, 1, spread=20)
     assert passed >= 196
+
+
+def test_what_passed_the_last_window_is_counted_by_a_gateway_that_saw_none_of_it():
+    first = World(settings(gateways=20), seed=1)
+    first.ask(spread=20)
+    acct = first.gw.accounts["c"]
+    assert acct.thin
+    last, this = stable_hash("c", acct.k), stable_hash("c", acct.k + 1)
+    counts = {last: 40.0}  # others passed far more than the 16 units that two refills hold
+    turned = acct.start + acct.length + 0.1
+    answers = []
+    for seed in range(3):
+        w = World(settings(gateways=20), seed=seed, start=turned)
+        w.counts = counts
+        answers.append(w.ask(spread=20)[1])
+        turned += 0.1
+    assert [(c.name, c.amount) for c in of(answers[0], api.Count)] == [(this, 1.0), (last, 0.0), (this, 24.0)]
+    assert of(answers[0], api.Send) and of(answers[1], api.Refuse) and of(answers[2], api.Refuse)
+    assert counts[this] >= 25.0
+
+
+def thin(**kw):
+    """A gateway of many, and a customer whose even part of the burst is less than a unit."""
+    return World(settings(gateways=20, limits={"max_retry_after": 60.0}, **kw))
+
+
+def test_a_thin_customer_found_at_its_end_is_told_to_come_back_after_a_refill():
+    w = thin()
+    w.ask(spread=20)
+    acct = w.gw.accounts["c"]
+    w.counts = {stable_hash("c", acct.k): 60.0}
+    told = [r.retry_after for _ in range(4) for r in of(w.ask(spread=20)[1], api.Refuse)]
+    assert len(told) >= 3 and told[-1] == acct.refill == 4.0
+
+
+def test_a_try_refused_unasked_is_told_when_to_come_back():
+    w = thin()
+    for use in w.gw.uses.values():
+        use.share = 0.01  # next to nothing was granted at any level
+    w.mode = "refuse"
+    told = [r.retry_after for n in range(9) for r in of(w.ask(customer=f"c{n}", spread=20)[1], api.Refuse)]
+    assert told and set(told) == {0.5}  # half of the aim, in which another try can come in time
+
+
+@pytest.mark.parametrize("share, least, most", [(0.99, 0.95, 1.0), (0.6, 0.02, 0.5)])
+def test_what_passes_unasked_loses_a_bounded_part_of_what_passes(share, least, most):
+    """The counter turns all away, and as many were granted at every level as `share` says."""
+    w = thin(plans=[plan(over_cost=1.0)])
+    w.mode = "refuse"
+    for use in w.gw.uses.values():
+        use.share, use.seen = share, 50
+    passed = asked = 0
+    for n in range(600):
+        asked += 1
+        for send in of(w.ask(customer=f"c{n}", spread=20)[1], api.Send):
+            passed += 1
+            w.end(send)
+        w.wait(0.02)
+    assert least <= passed / asked <= most
+
+
+def test_a_class_of_no_worth_is_answered():
+    none = api.ServiceClass("read", 1.0, 3.0, "safe", "all", 5.0, 0.0, 0.0, False, 0.0)
+    w = thin(classes={"read": none})
+    assert [a for n in range(30) for a in w.ask(customer=f"c{n}", spread=20)[1] if isinstance(a, api.Send)]
