Ask discovery on a connection of our own: a start takes a quarter of the CPU

Measured with -X importtime: 0.37 s of the 0.69 s of imports are aiohttp with all that it brings along, for one GET at a time; 16 of 40 MB as well. Ruled out: asyncio, uvloop, hiredis, logging (0.13 s together); our own sources (0.08 s, mended before). At fault: the import in discovery.py. Design: net/http.py, one GET on a kept connection, parsed by httptools; aiohttp stays for the tests. A body of no stated length ends with the end of the sending, never with a reset.

--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import aiohttp
-
+from calicomast.net.http import HttpConnection, StatusError
 from calicomast.net.listing import Address, Listing, read_list
 
 WAIT = 5.0  # s that discovery may hold a watch open
@@ -35,39 +34,48 @@
 
     def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
                  failed: Callable[[], None], held: bool = False, grace: float = 1.0) -> None:
-        host, port = address
-        self.url = f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
-        self.version, self.told, self.failed, self.held = version, told, failed, held
+        self.address, self.version, self.told, self.failed, self.held = address, version, told, failed, held
         self.limit, self.pause = min(ANSWER, max(ANSWER_LEAST, grace / 2)), GRACE_PART * grace
         self.silent = False  # the last call got no answer
-        self.session: aiohttp.ClientSession | None = None
+        self.resting: HttpConnection | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: set[asyncio.Task[None]] = set()
 
     async def get(self, params: dict[str, int], limit: float) -> None:
-        if self.session is None:
-            self.session = aiohttp.ClientSession(trust_env=False)
-        # Not aiohttp's own time-out, which is rounded up to whole seconds where it is over five.
-        async with asyncio.timeout(limit), self.session.get(self.url, params=params) as answer:
-            answer.raise_for_status()
-            body = bytearray()
-            async for chunk in answer.content.iter_any():
-                body += chunk
-                if len(body) > MOST_LIST:
-                    raise ValueError("an answer without end")
+        terms = "&".join(f"{name}={value}" for name, value in params.items())
+        async with asyncio.timeout(limit):
+            body = await self.body("/v1/endpoints" + ("?" + terms if terms else ""))
         listing = read_list(json.loads(body))
         if listing.hosts.mode == "delta" and listing.hosts.version < self.version:
             raise ValueError("changes to an older list than the last")  # they may bring back what is gone
         self.version, self.held = listing.hosts.version, True
         self.told(listing)
 
+    async def body(self, target: str) -> bytes:
+        kept, self.resting = self.resting, None
+        if kept is not None and kept.free:
+            try:
+                return await self.body_on(kept, target)
+            except ConnectionError:  # the service may close one that rests at any time
+                if kept.heard:
+                    raise
+        return await self.body_on(HttpConnection(*self.address, MOST_LIST), target)
+
+    async def body_on(self, conn: HttpConnection, target: str) -> bytes:
+        body = await conn.get(target)
+        if conn.free:
+            if self.resting is not None:
+                self.resting.close()
+            self.resting = conn
+        return body
+
     async def attempt(self, params: dict[str, int], limit: float) -> bool:
         try:
             await self.get(params, limit)
         except Exception as err:  # whatever it is, the watch must outlive it
             # One that is too busy or away leaves the version good; one that answers oddly does not.
-            busy = isinstance(err, aiohttp.ClientResponseError) and err.status >= 500
-            self.silent = isinstance(err, OSError | TimeoutError | aiohttp.ClientConnectionError)
+            busy = isinstance(err, StatusError) and err.status >= 500
+            self.silent = isinstance(err, OSError | TimeoutError)
             self.held = self.held and (busy or self.silent)
             log.warning("discovery: %s %s; the last list stays", type(err).__name__, err)
             self.failed()
@@ -109,5 +117,5 @@
         self.watch(False)
         for task in self.fetching:
             task.cancel()
-        if self.session is not None:
-            await self.session.close()
+        if self.resting is not None:
+            self.resting.close()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -54,3 +54,11 @@
 
 def test_run_ends_by_exec_in_the_built_environment():
     assert DEPLOY["run"].startswith("exec .venv/bin/python ") and DEPLOY["sim"].startswith("exec .venv/bin/")
+
+
+def test_a_start_imports_no_more_than_it_uses():
+    """What takes most CPU of all that a client library for HTTP brings along; hundreds may start at once."""
+    heavy = {"aiohttp", "email", "email.parser", "http", "http.client", "urllib.request", "multiprocessing"}
+    told = subprocess.run([sys.executable, "-B", "-c", "import calicomast.net.__main__, sys; print(*sys.modules)"],
+                          cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    assert "calicomast.net.gateway" in told and not heavy & set(told)
