Hear of a change within 6 s whatever calls to discovery fail, are refused or late

New term: a change counts as told 6 s after discovery had it and could be reached, whatever call failed, was refused or given up. Confirmed by reading and in virtual time: a watch that fell silent as it began was given up after 5.5 s, so two failures behind it passed the 6 s; pauses after 5xx and odd answers grew to 3 s; a call that failed was followed by a watch, which may fall silent as long again; an answer later than half a second was given up each time, so a slow discovery was never heard. At fault: WAIT, BACKOFF_MOST, the limit of each call and the choice of the next one in discovery.py. Ruled out: the driver's pause after silence, which kept to the grace. A discovery that ends watches early without news is asked ten times a second at most. The test of a watch given up past a whole second goes: it was about the library's time-out, and the ones in virtual time bind it to the tenth.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -48,6 +48,33 @@
     return run
 
 
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock stands still but where nothing is left to do: it then goes on to the next timer."""
+
+    def __init__(self):
+        super().__init__()
+        self.now, select = 0.0, self._selector.select
+
+        def go_on(timeout=None):
+            assert timeout is not None, "nothing is left that could happen"
+            self.now += timeout
+            return select(0)
+
+        self._selector.select = go_on
+
+    def time(self):
+        return self.now
+
+
+def in_virtual_time(test):
+    """Runs an async test that opens no sockets: what it takes is told by the program's own figures alone."""
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(test(*args, **kwargs))
+    return run
+
+
 def command(id=b"r1", terms=TERMS, verb=b"API.READ", customer=b"00000000b4d65521", body=None):
     parts = [verb, customer, id, terms] + ([body] if body is not None else [])
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -16,7 +16,8 @@
 @pytest.fixture
 def built(tmp_path):
     """A copy that was built where the packages were installed before."""
-    shutil.copytree(ROOT / "calicomast", tmp_path / "calicomast", ignore=shutil.ignore_patterns("__pycache__"))
+    bare = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / "calicomast", tmp_path / "calicomast", ignore=bare)
     shutil.copy(ROOT / "requirements.txt", tmp_path)
     python = tmp_path / ".venv" / "bin" / "python"
     python.parent.mkdir(parents=True)
@@ -59,6 +60,7 @@
 def test_a_start_imports_no_more_than_it_uses():
     """What takes most CPU of all that a client library for HTTP brings along; hundreds may start at once."""
     heavy = {"aiohttp", "email", "email.parser", "http", "http.client", "urllib.request", "multiprocessing"}
-    told = subprocess.run([sys.executable, "-B", "-c", "import calicomast.net.__main__, sys; print(*sys.modules)"],
+    code = "import calicomast.net.__main__, sys; print(*sys.modules)"
+    told = subprocess.run([sys.executable, "-B", "-c", code],
                           cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
     assert "calicomast.net.gateway" in told and not heavy & set(told)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import json
+from urllib.parse import parse_qsl, urlsplit
 
 import pytest
-from netkit import SERVED, Node, StubDiscovery, StubHost, command, entry, on_loop, told
+from netkit import SERVED, Node, StubDiscovery, StubHost, command, entry, in_virtual_time, on_loop, told
 
 from calicomast import interface as api
 from calicomast.net import discovery
 from calicomast.net.config import read_config
+from calicomast.net.http import StatusError
 from calicomast.net.listing import read_list
 
 
@@ -133,52 +135,135 @@
         assert await node.ask(command()) == SERVED
 
 
+class Agent:
+    """Discovery in virtual time: `behave(call, at)` tells what becomes of a call, by its number and when it
+    began: how long until it is answered with what there is then, an error, or None for silence."""
+
+    def __init__(self, monkeypatch, behave, held=True, grace=1.0):
+        monkeypatch.setattr(discovery.random, "random", lambda: 1.0)  # the longest pauses
+        self.behave, self.loop, self.calls, self.most = behave, asyncio.get_running_loop(), [], 0
+        self.lists, self.heard = [(0.0, 7)], []  # from when which version; when which was told
+        self.watch = discovery.Discovery(("127.0.0.1", 1), 7, self.told, lambda: None, held, grace)
+        monkeypatch.setattr(self.watch, "body", self.body)
+
+    def told(self, listing):
+        self.heard.append((self.loop.time(), listing.hosts.version))
+
+    async def body(self, target):
+        query = dict(parse_qsl(urlsplit(target).query))
+        self.calls.append((self.loop.time(), query))
+        self.most = max(self.most, len(self.watch.calls))
+        does = self.behave(len(self.calls) - 1, self.loop.time())
+        if isinstance(does, Exception):
+            raise does
+        if does is None:
+            await asyncio.Event().wait()
+        version = self.version()
+        await asyncio.sleep(does)
+        if int(query.get("wait", "0")) > 1:
+            while self.version() == int(query["index"]) and self.loop.time() < self.calls[-1][0] + 3:
+                await asyncio.sleep(0.01)
+            version = self.version()
+        entry = {"id": "h1", "addr": "127.0.0.1:1", "state": "draining"}
+        return json.dumps({"version": version, "full": "index" not in query, "servers": [entry] * (
+            version != int(query.get("index", "-1")))})
+
+    def version(self):
+        return [version for at, version in self.lists if at <= self.loop.time()][-1]
+
+    async def play(self, seconds):
+        self.watch.watch(True)
+        await asyncio.sleep(seconds)
+        await self.watch.close()
+
+
 @pytest.mark.parametrize("grace", [0.3, 0.7, 1.0, 2.0])
-@on_loop
-async def test_news_of_an_agent_that_comes_back_are_heard_within_the_grace(grace, monkeypatch):
-    """In the time that calls and pauses take by their own figures, at worst: nothing answers."""
-    now, calls = 0.0, []
-
-    async def silent(self, params, limit):
-        nonlocal now
-        calls.append((now, params, limit))
-        if len(calls) == 30:
-            raise asyncio.CancelledError
-        now += limit
-        raise TimeoutError
-
-    async def sleep(seconds):
-        nonlocal now
-        now += seconds
-
-    monkeypatch.setattr(discovery.Discovery, "get", silent)
-    monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
-    monkeypatch.setattr(discovery.random, "random", lambda: 1.0)
-    watch = discovery.Discovery(("127.0.0.1", 1), 7, print, lambda: None, True, grace)
-    with pytest.raises(asyncio.CancelledError):
-        await watch.run()
-    began = [at for at, _, _ in calls]
-    assert calls[0][1] == {"index": 7, "wait": int(discovery.WAIT * 1000)}
-    assert began[1] < discovery.WAIT + 2.0 - 0.5  # what it missed counts as told 2 s after its wait is over
-    assert all(params == {"index": 7, "wait": 1} for _, params, _ in calls[1:])
-    assert max(b - a for a, b in zip(began[1:], began[2:], strict=False)) < grace
+@pytest.mark.parametrize("back", [4.0, 5.3, 8.0, 9.1, 9.2, 9.3, 9.4])
+@in_virtual_time
+async def test_news_of_an_agent_that_comes_back_are_heard_within_the_grace(back, grace, monkeypatch):
+    agent = Agent(monkeypatch, lambda call, at: None if at < back else 0.0, grace=grace)
+    agent.lists.append((0.1, 8))
+    await agent.play(12.0)
+    began = [at for at, _ in agent.calls]
+    assert began[0] == 0.0 and began[1] < discovery.WAIT + 1.0
+    calls = [query for at, query in agent.calls[1:] if at < back]
+    assert all(query == {"index": "7", "wait": "1"} for query in calls)
+    assert agent.heard and agent.heard[0] == (pytest.approx(agent.heard[0][0]), 8)
+    assert back <= agent.heard[0][0] < max(back, discovery.WAIT) + grace
+    assert agent.most <= discovery.MOST_OPEN + 1
 
 
-@on_loop
-async def test_a_silent_watch_is_given_up_when_its_time_is_over_not_at_the_next_whole_second(tmp_path):
-    async with StubHost() as host, Node(host, path=tmp_path) as node:
-        node.discovery.changes.put_nowait([])  # ends the watch that the start began
-        node.discovery.silent = True
-        while node.discovery.calls.qsize():
-            node.discovery.calls.get_nowait()
-        loop = asyncio.get_running_loop()
-        limit = discovery.WAIT + discovery.ANSWER
-        await asyncio.sleep(1.0 - (loop.time() + limit) % 1.0 + 0.02)  # it is over just past a whole second
-        given_up = asyncio.create_task(node.node.discovery.attempt({"index": 1, "wait": 5000}, limit))
-        late = loop.create_future()
-        loop.call_later(limit + 0.9, late.set_result, None)
-        await asyncio.wait([given_up, late], return_when=asyncio.FIRST_COMPLETED)
-        assert given_up.done() and not late.done()
+FAILURES = [StatusError(503), ValueError("odd"), ConnectionResetError("reset"), ConnectionRefusedError("no"),
+            StatusError(404), json.JSONDecodeError("odd", "", 0)]
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=repr)
+@pytest.mark.parametrize("failed", [0, 1, 2, 3, 4])
+@in_virtual_time
+async def test_a_change_is_told_within_six_seconds_whatever_calls_failed(failed, failure, monkeypatch):
+    """It is made as a watch falls silent, and the first calls after that fail."""
+    agent = Agent(monkeypatch, lambda call, at: None if call == 0 else failure if call <= failed else 0.0)
+    agent.lists.append((0.01, 8))
+    await agent.play(8.0)
+    assert [version for _, version in agent.heard][:1] == [8] and agent.heard[0][0] < 6.0
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=repr)
+@in_virtual_time
+async def test_a_call_after_one_that_failed_waits_for_nothing(failure, monkeypatch):
+    """It may fall silent too, and a watch would do so for long."""
+    fates = [None, failure, None, failure]
+    agent = Agent(monkeypatch, lambda call, at: fates[call] if call < len(fates) else 0.0)
+    agent.lists.append((0.01, 8))
+    await agent.play(8.0)
+    assert agent.heard[0][1] == 8 and agent.heard[0][0] < 6.0
+
+
+@pytest.mark.parametrize("failed", [1, 2, 5, 9])
+@in_virtual_time
+async def test_a_change_made_while_calls_fail_is_told_soon_after(failed, monkeypatch):
+    agent = Agent(monkeypatch, lambda call, at: FAILURES[call % 6] if call < failed else 0.0)
+    agent.lists.append((0.01, 8))
+    await agent.play(30.0)
+    assert agent.heard[0][1] == 8
+    assert agent.heard[0][0] - agent.calls[failed - 1][0] < 1.0
+
+
+@pytest.mark.parametrize("takes", [0.4, 0.6, 1.5, 4.0])
+@in_virtual_time
+async def test_a_discovery_that_is_slow_to_answer_is_heard_all_the_same(takes, monkeypatch):
+    agent = Agent(monkeypatch, lambda call, at: takes, held=False)
+    agent.lists.append((10.0, 8))
+    await agent.play(20.0)
+    first = [at for at, version in agent.heard if version == 7][0]
+    assert first == pytest.approx(takes)
+    assert 10.0 < [at for at, version in agent.heard if version == 8][0] < 16.0
+    versions = [version for _, version in agent.heard]
+    assert versions == sorted(versions) and agent.most <= discovery.MOST_OPEN
+
+
+@in_virtual_time
+async def test_an_answer_that_was_overtaken_brings_nothing_back(monkeypatch):
+    takes = {0: 2.0, 1: 0.0}  # the whole list as it was at first comes after what followed it
+    agent = Agent(monkeypatch, lambda call, at: takes.get(call, 0.0), held=False)
+    agent.lists.append((0.4, 8))
+    await agent.play(6.0)
+    assert len(agent.calls) > 2 and {version for _, version in agent.heard} == {8}
+
+
+@in_virtual_time
+async def test_a_discovery_that_holds_no_watch_open_is_not_asked_all_the_time(monkeypatch):
+    agent = Agent(monkeypatch, lambda call, at: 0.0)
+
+    async def at_once(target):
+        agent.calls.append((agent.loop.time(), {}))
+        if len(agent.calls) > 100:
+            raise asyncio.CancelledError  # not for ever
+        return '{"version": 7, "full": false, "servers": []}'
+
+    monkeypatch.setattr(agent.watch, "body", at_once)
+    await agent.play(2.0)
+    assert 5 < len(agent.calls) <= 21
 
 
 @on_loop
