Answer all commands that were read together before their connection closes

Seen by reading, shown by a test: on a connection that is to close (SIGTERM, end of the idle time) with several commands in one read, the first being answered at once (-BUSY, an error, PING), Client.flush found nothing in work and closed the connection; the answers of those behind it were written to a transport that was closing, which drops them. Such requests end with no whole answer, though they were taken. At fault: Client.end, which asked the socket for unread bytes but not whether some were just being handed over. Ruled out: bytes that lie unread in the socket, which end() waits for, and a half command.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -54,6 +54,7 @@
         self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
         self.began = 0.0  # when the half command did
         self.closing = self.broken = self.paused = self.flooded = False
+        self.reading = False  # commands that were read are just being handed over, one after another
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -92,7 +93,7 @@
                 self.transport.abort()
             return
         self.framing.feed(data)
-        begins = not self.partial
+        begins, self.reading, spoilt = not self.partial, True, False
         try:
             while (command := self.framing.take()) is not NO_MESSAGE:
                 slot = Slot(self)
@@ -101,6 +102,9 @@
                 begins = True
                 self.server.handler.command(slot, command)
         except FramingError:
+            spoilt = True
+        self.reading = False
+        if spoilt:
             self.fail(b"-ERR protocol error\r\n")
             return
         if begins and self.framing.buffer:
@@ -156,7 +160,7 @@
                 self.end()
 
     def end(self) -> None:
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.reading:  # what was read is answered first
             return
         if not self.broken and (self.partial or self.unread()):
             self.server.idle.setdefault(self, monotonic())  # what has come was taken: it is answered first
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -254,6 +254,18 @@
         assert await take(client) == SERVED
 
 
+@on_loop
+async def test_commands_read_together_before_a_close_are_all_answered(tmp_path):
+    """Though the first of them is answered at once, which leaves nothing in work."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        client = blocking(node, b"")
+        while not node.node.clients.clients:
+            await asyncio.sleep(0)
+        client.send(b"*1\r\n$4\r\nPING\r\n" + command(b"refused", terms=terms(d="1")) + command())
+        node.node.clients.finish()
+        assert await take(client) == b"+PONG\r\n-BUSY\r\n" + SERVED
+
+
 @on_loop
 async def test_a_command_behind_the_last_answer_is_served_before_the_close(tmp_path):
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
