Cut no connection off while an answer on it still counts

Seen by reading and shown by socket tests: at the limit of connections make_room aborted the first connection that was ending, also one whose last answer was not written yet, and named the same one for each newcomer until it was lost, so that the limit was passed; connections that were ending for 1 s, or not taken from for 5 s, were aborted with answers unwritten, however long their requests had; and who was turned away got a close over unread bytes, a reset that eats the error. Ruled out: the loop accepting many in one turn. Design: an answer counts until half a second after its request's time, no longer than the longest deadline of the settings; until then its connection is not cut off, unless over 1 MB waits on it. Those let go are counted as gone at once and are chosen once; those turned away (16 at most) end by write_eof and are read till then. Six reverts, one by one: each fails one or two of the tests.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -18,14 +18,16 @@
 
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
 IDLE = 2.2  # s without a command in work, or with half a one, after which a connection is closed
-ENDING = 1.0  # s that a closing connection has for its last bytes: its client may never read them
-STUCK = 5.0  # s without the client taking its answers: it may never do so
+ENDING = 1.0  # s that a closing connection has for its client's end; for answers, while they still count
+STUCK = 5.0  # s without the client taking its answers, though none of them counts any more
 SWEEP = 0.25  # s between looks for those
 HALF = 0.5  # s that half a command has at least, though the idle time of its connection is over
 LOOK = 0.1  # s between looks at connections that are not read: a request of a client that left ends by 0.3 s
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
 BACKLOG = 1024  # connections that may wait at the listener
-MOST_LOOKED_AT = 8  # idle connections asked for unread bytes when one has to go
+MOST_LOOKED_AT = 64  # idle connections asked for unread bytes when one has to go
+MOST_UNTAKEN = 1024 * 1024  # bytes of answers that wait past STUCK for a client to take them
+MOST_AWAY = 16  # connections turned away that wait for their client's end
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FAILED = b"-ERR failed\r\n"
 
@@ -33,10 +35,11 @@
 class Slot:
     """The place of one command's answer among those of its connection."""
 
-    __slots__ = ("client", "answer", "token")
+    __slots__ = ("client", "answer", "token", "due")
 
     def __init__(self, client: Client) -> None:
         self.client = client
+        self.due = 0.0  # until when its answer counts
         self.answer: bytes | None = None
         self.token: Any = None  # what the handler keeps of a command that it has not answered yet
 
@@ -52,7 +55,7 @@
         self.framing = Framing()
         self.pending: deque[Slot] = deque()
         self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
-        self.began = 0.0  # when the half command did
+        self.began = self.due = 0.0  # when the half command did; until when an answer that was written counts
         self.closing = self.broken = self.paused = self.flooded = False
         self.reading = False  # commands that were read are just being handed over, one after another
         self.transport: asyncio.Transport
@@ -142,6 +145,20 @@
         told = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0\0\0\0")
         return told != b"\0\0\0\0"
 
+    def owes(self, now: float) -> bool:
+        """Whether the client still has to get an answer that counts. Past that time it may never take it."""
+        return any(slot.due > now for slot in self.pending) or (
+            self.due > now and self.transport.get_write_buffer_size() > 0)
+
+    def hopeless(self, now: float) -> bool:
+        """Whether to wait no longer for a client that takes nothing or does not end."""
+        return not self.owes(now) or self.transport.get_write_buffer_size() > MOST_UNTAKEN
+
+    def drop(self) -> None:
+        self.closing = True
+        self.server.leaving.add(self)
+        self.transport.abort()
+
     def close_when_done(self) -> None:
         """What still comes on it before that is served too: it was taken."""
         self.closing = True
@@ -150,7 +167,7 @@
     def flush(self) -> None:
         pending = self.pending
         while pending and (answer := pending[0].answer) is not None:
-            pending.popleft()
+            self.due = max(self.due, pending.popleft().due)
             self.transport.write(answer)
         if self.flooded:
             self.throttle()
@@ -205,6 +222,8 @@
         self.idle: dict[Client, float] = {}  # since when, oldest first
         self.ending: dict[Client, float] = {}
         self.stuck: dict[Client, float] = {}
+        self.leaving: set[Client] = set()  # that were let go and are lost in the next turn of the loop
+        self.away: dict[Client, None] = {}  # that were turned away, oldest first
         self.unread: set[Client] = set()  # those that are not read for now
         self.listener: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -219,22 +238,28 @@
 
     def joined(self, client: Client) -> None:
         self.clients.add(client)
-        if len(self.clients) > self.most and not self.make_room():  # descriptors are limited
-            client.transport.write(b"-ERR too many connections\r\n")
-            client.closing = client.broken = True
-            client.transport.close()
+        # Descriptors are limited. Those that are just being let go are free by the next turn of the loop.
+        if len(self.clients) - len(self.leaving) - len(self.away) > self.most and not self.make_room():
+            self.away[client] = None
+            client.fail(b"-ERR too many connections\r\n")
+            if len(self.away) > MOST_AWAY:
+                next(iter(self.away)).drop()
             return
         self.rest(client)
 
     def make_room(self) -> bool:
-        """Lets a connection go that is ending anyhow, else the one that is idle for longest."""
+        """Lets a connection go that is ending anyhow, else the one that is idle for longest; none on which an
+        answer is owed or bytes lie that may be a request."""
+        now = monotonic()
         for client in self.ending:
-            client.transport.abort()
-            return True
+            if client not in self.leaving and client not in self.away and not client.owes(now):
+                client.drop()
+                return True
         for client in [c for c, _ in zip(self.idle, range(MOST_LOOKED_AT), strict=False)]:
-            if not client.transport.is_closing() and not client.unread():
-                client.transport.close()
-                client.closing = True
+            half = client.partial and client.began > now - HALF
+            if not (client.transport.is_closing() or half or client.transport.get_write_buffer_size()
+                    or client.unread()):
+                client.drop()
                 return True
         return False
 
@@ -242,7 +267,8 @@
         self.clients.discard(client)
         self.hold(client, 0)
         self.unread.discard(client)
-        for place in (self.idle, self.ending, self.stuck):
+        self.leaving.discard(client)
+        for place in (self.idle, self.ending, self.stuck, self.away):
             place.pop(client, None)
 
     def rest(self, client: Client) -> None:
@@ -262,8 +288,8 @@
         for client in [c for c, since in self.idle.items() if since < now - IDLE]:
             client.expire()
         for place, most in ((self.ending, ENDING), (self.stuck, STUCK)):
-            for client in [c for c, since in place.items() if since < now - most]:
-                client.transport.abort()
+            for client in [c for c, since in place.items() if since < now - most and c.hopeless(now)]:
+                client.drop()
 
     def look(self) -> None:
         self.looks = asyncio.get_running_loop().call_later(LOOK, self.look)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -24,6 +24,7 @@
 from calicomast.policy import Gateway
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
+STILL = 0.55  # s after it for which an answer is still worth nothing but is one; later the request is lost
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
 MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
@@ -108,7 +109,7 @@
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = self.stopping = self.ended = False
-        longest = max(cls.deadline for cls in self.settings.classes.values())
+        longest = self.longest = max(cls.deadline for cls in self.settings.classes.values())
         self.finish_time = min(longest, KILL_MOST) + KILL_MORE - min(KILL_MARGIN, longest / 2)
         room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
         # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
@@ -240,7 +241,7 @@
             return
         now = time.monotonic()
         work = Work(request.id, slot, command, now + request.left)
-        slot.token = work
+        slot.token, slot.due = work, now + min(request.left + WAY_BACK, self.longest) + STILL
         self.works[request.id] = work
         self.held += len(command[-1])
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -7,7 +7,7 @@
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
 
-from calicomast.net import clients
+from calicomast.net import clients, gateway
 
 
 @pytest.mark.parametrize("bad", [
@@ -164,6 +164,105 @@
         assert [await read_reply(reader) for reader in busy] == [SERVED, SERVED]
 
 
+LONG = b"$60000\r\n" + b"v" * 60000 + b"\r\n"
+
+
+async def untaken(node, count=10):
+    """A client that has asked `count` times and takes no answer yet; its end of the gateway's connection."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", node.port))
+    client.setblocking(False)
+    before = set(node.node.clients.clients)
+    while not (there := node.node.clients.clients - before):
+        await asyncio.sleep(0)
+    (served,) = there
+    served.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    class Mute:
+        def handle(self, now, event):
+            return []
+
+    module, node.node.module = node.node.module, Mute()
+    client.send(b"".join(command(b"u%d" % n) for n in range(count)))
+    while len(served.pending) < count:
+        await asyncio.sleep(0)
+    node.node.module = module
+    for work in list(node.node.works.values()):
+        node.node.finish(work, LONG)
+    assert served.transport.get_write_buffer_size()
+    return client, served
+
+
+@on_loop
+async def test_room_is_not_made_at_the_cost_of_an_answer_that_is_not_taken_yet(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        client, served = await untaken(node)
+        served.close_when_done()
+        assert served in node.node.clients.ending
+        node.node.clients.most = 1
+        reader, _ = await node.connect()
+        assert (await read_reply(reader)).startswith(b"-ERR too many")
+        assert await take(client) == LONG * 10
+
+
+@on_loop
+async def test_each_newcomer_takes_the_place_of_another(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        server = node.node.clients
+        for _ in range(4):
+            await node.connect()
+        while len(server.clients) < 4:
+            await asyncio.sleep(0)
+        for client in list(server.clients)[:2]:
+            client.fail(b"-ERR\r\n")  # ends once its client does
+        assert [server.make_room() for _ in range(5)] == [True] * 4 + [False]
+        assert server.leaving == server.clients
+        while server.clients:
+            await asyncio.sleep(0)
+        assert not (server.leaving or server.ending or server.idle)
+
+
+@on_loop
+async def test_one_that_is_turned_away_hears_of_it_though_it_has_asked(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        node.node.clients.most = 1
+        busy, writer = await node.connect()
+        writer.write(command(b"first"))
+        await host.arrived.get()
+        asked = [blocking(node, command(b"r%d" % n) * 3) for n in range(clients.MOST_AWAY)]
+        for client in asked:
+            client.shutdown(socket.SHUT_WR)
+            assert (await take(client)).startswith(b"-ERR too many")  # an end, not a reset
+        while len(node.node.clients.clients) > 1:
+            await asyncio.sleep(0)
+        for _ in range(2 * clients.MOST_AWAY):
+            await node.connect()
+        await asyncio.sleep(0)
+        assert len(node.node.clients.clients) <= clients.MOST_AWAY + 3  # a few may be on their way
+        host.writers[0].write(VALUE)
+        assert await read_reply(busy) == SERVED and len(host.commands) == 1
+
+
+@pytest.mark.parametrize("ends", [False, True])
+@on_loop
+async def test_answers_are_waited_for_while_they_count_and_no_longer(ends, tmp_path, monkeypatch):
+    for name in ("ENDING", "STUCK"):
+        monkeypatch.setattr(clients, name, 0.0)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        client, served = await untaken(node)
+        if ends:
+            served.close_when_done()
+        now = clients.monotonic() + 1.0
+        monkeypatch.setattr(clients, "monotonic", lambda: now)
+        node.node.clients.sweep()
+        assert served not in node.node.clients.leaving
+        now += 2.0 + gateway.STILL  # past all deadlines
+        node.node.clients.sweep()
+        assert served in node.node.clients.leaving
+        client.close()
+
+
 @on_loop
 async def test_half_commands_together_are_bounded(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
