Begin no attempt for a client that has closed, though its end was not read yet

Ruled out: what waits in the queue of a client that is read, which ends with its end. At fault: GatewayNode.send and Pool.connect. Design: each asks the client's socket for its end just before it begins (one poll without waiting); the request is then over, its attempt moot, and a connection that came up for it rests for the next.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -83,12 +83,18 @@
 
     def look(self) -> None:
         """Sees a client leave whose connection is not read: its end stands behind bytes that nobody takes."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        if any(seen & LEFT for _, seen in poll.poll(0)):
+        if self.has_left():
             self.leave()
             self.transport.abort()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed, though the loop has not read that yet."""
+        if self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return any(seen & LEFT for _, seen in poll.poll(0))
+
     def data_received(self, data: bytes) -> None:
         if self.broken:
             self.dropped += len(data)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -322,15 +322,24 @@
             return
         number, left = work.sends, work.deadline - time.monotonic()
         work.sends += 1
-        if left <= 0 or number >= self.settings.limits.max_attempts or (
+        if work.slot.client.has_left():
+            self.finish(work, b"")
+        if work.over or left <= 0 or number >= self.settings.limits.max_attempts or (
                 work.live and not self.settings.limits.second_copies):
-            self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, False))
+            self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, work.over))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
-        attempt = Attempt(action.host, work.payload(wait), self.attempt_done, (work, number))
+        attempt = Attempt(action.host, work.payload(wait), self.attempt_done, (work, number), self.wanted)
         work.live[number] = attempt
         self.hosts.send(attempt, wait)
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether the client is still there for an attempt that could not begin at once."""
+        work = attempt.tag[0]
+        if work.slot.client.has_left():
+            self.gone(work.slot)
+        return not work.over
+
     def attempt_done(self, attempt: Attempt) -> None:
         work, number = attempt.tag
         result, over = attempt.result, work.over
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -41,13 +41,16 @@
 
 
 class Attempt:
-    """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known."""
+    """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known. `wanted`
+    is asked before it begins on a connection that had to come up first."""
 
     __slots__ = ("host", "payload", "done", "tag", "started", "result", "value", "used", "report", "conn",
-                 "timer")
+                 "timer", "wanted")
 
-    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None) -> None:
+    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None,
+                 wanted: Callable[[Attempt], bool] = lambda attempt: True) -> None:
         self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
+        self.wanted = wanted
         self.result = ""
         self.value = b""
         self.used = 0
@@ -276,7 +279,10 @@
         if conn is not None:
             self.hosts.conns.add(conn)
             if waiting and not attempt.result and self.up and not conn.transport.is_closing():
-                conn.start(attempt)
+                if attempt.wanted(attempt):
+                    conn.start(attempt)
+                else:
+                    self.rest(conn)
                 return
             conn.close()
         if waiting:
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import logging
+import socket
 import time
 
 import pytest
 from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
 
 from calicomast import interface as api
-from calicomast.net import gateway
+from calicomast.net import gateway, hosts
 
 
 @on_loop
@@ -215,3 +216,74 @@
             replies = await asyncio.gather(*asks)
             assert replies == [SERVED] * asked
             assert len(tried) < asked / 2
+
+
+async def left_unread(node, *events):
+    """A client that has asked and closed, of which the loop reads nothing more; its work."""
+    client = socket.create_connection(("127.0.0.1", node.port))
+    client.sendall(command())
+    while not node.node.works:
+        await asyncio.sleep(0)
+    (work,) = node.node.works.values()
+    for event in events:
+        await event()
+    work.slot.client.transport.pause_reading()
+    client.close()
+    return work
+
+
+class Held:
+    """A module that decides nothing by itself."""
+
+    def __init__(self):
+        self.seen = []
+
+    def handle(self, now, event):
+        self.seen.append(event)
+        return []
+
+
+@on_loop
+async def test_no_first_attempt_begins_for_a_client_whose_end_lies_unread(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.module = module = Held()
+        work = await left_unread(node)
+        node.node.send(api.Send(work.id, "h1"))
+        assert work.over and not work.live and not node.node.hosts.pools["h1"].coming
+        (ended,) = [e for e in module.seen if isinstance(e, api.Outcome)]
+        assert (ended.id, ended.attempt, ended.result, ended.final) == (work.id, 0, "moot", True)
+        assert not node.node.works
+
+
+@on_loop
+async def test_no_further_attempt_begins_for_a_client_whose_end_lies_unread(tmp_path):
+    async with StubHost(None) as one, StubHost(None) as two, Node(one, two, path=tmp_path) as node:
+        async def begun():
+            await asyncio.wait([asyncio.ensure_future(h.arrived.get()) for h in (one, two)],
+                               return_when=asyncio.FIRST_COMPLETED)
+
+        work = await left_unread(node, begun)
+        first, other = (one, two) if one.commands else (two, one)
+        first.writers[0].write(b"-BUSY\r\n")  # never ran: it would go to the other one
+        while node.node.works:
+            await asyncio.sleep(0)
+        assert work.over and work.sends == 2 and not other.commands
+        assert not node.node.module.jobs and not node.node.module.fleet.out
+
+
+@on_loop
+async def test_no_attempt_begins_on_a_connection_that_came_up_after_the_client_left(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        async def begun():
+            assert node.node.hosts.pools["h1"].coming
+
+        work = await left_unread(node, begun)
+        pool = node.node.hosts.pools["h1"]
+        assert pool.coming
+        while pool.coming:
+            await asyncio.sleep(0)
+        assert work.over and not work.live and not host.commands
+        assert len(pool.idle) == 1 and not node.node.module.fleet.out  # the connection serves the next one
+        await asyncio.sleep(hosts.REST)
+        assert await node.ask(command(b"r2")) == SERVED
+        assert len(host.writers) == 1
