--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -1,9 +1,13 @@
 """The program as the platform runs it: configuration, readiness, signals."""
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -114,3 +118,61 @@
         program.send_signal(signal.SIGTERM)
         program.send_signal(signal.SIGHUP)
         assert await program.wait() == 0
+
+
+async def listens(port):
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionRefusedError:
+        await asyncio.sleep(0.01)
+        return False
+    writer.close()
+    return True
+
+
+@pytest.mark.parametrize("sockets", [100, 256])
+@on_loop
+async def test_idle_clients_fill_no_descriptor_that_something_else_needs(sockets, tmp_path):
+    """While discovery is silent, which takes one for each call that is out, up to its limit."""
+    async with (StubHost() as host, StubHost() as new, StubCounter() as counter,
+                StubDiscovery() as discovery):
+        discovery.servers, discovery.silent = [entry(host)], True
+        config = tmp_path / "config.json"
+        text = told([entry(host)], discovery.port, counter.port)
+        text["limits"]["sockets"] = sockets
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        text["listen"] = f"127.0.0.1:{port}"
+        config.write_text(json.dumps(text))
+        program = await asyncio.create_subprocess_exec(
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.DEVNULL)
+        resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        while not await listens(port):
+            pass
+        idle, number = [], itertools.count()
+        while discovery.calls.qsize() < 6:  # calls that got no answer follow one another
+            for _ in range(40):
+                if len(idle) > 4 * sockets:
+                    idle.pop(0).close()
+                client = socket.socket()
+                client.setblocking(False)
+                idle.append(client)
+                with contextlib.suppress(BlockingIOError):
+                    client.connect(("127.0.0.1", port))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(command(b"r%d" % next(number)))
+            assert await read_reply(reader) == SERVED
+            assert len(os.listdir(f"/proc/{program.pid}/fd")) <= sockets - 4
+            writer.close()
+            host.writers.pop().close()  # so that the next attempt has to open a connection
+        discovery.silent = False
+        discovery.servers, discovery.version = [entry(new, "h2")], 2
+        discovery.raw = json.dumps({"version": 2, "full": True, "servers": [entry(new, "h2")]})
+        while not new.commands:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(command(b"r%d" % next(number)))
+            assert await read_reply(reader) == SERVED
+        for client in idle:
+            client.close()
+        program.kill()
+        await program.wait()
