Bear SIGHUP from the first moment of a start, and an address still in use

Seen by reading, shown with real processes: until its loop ran, SIGHUP had its default and ended the process, and where it came before the file was read the address of discovery was the old one, from the environment; an address that its last holder was just giving up ended the start with status 2. Both are starts that fail. Ruled out: SIGTERM during a start, which may end it. At fault: __main__.py, which imported all before it looked at signals, and the one try to listen.

--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -2,69 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import logging
 import signal
 import sys
 
-import uvloop
 
-from calicomast.net.config import Config, ConfigError, read_config
-from calicomast.net.gateway import GatewayNode
-
-MOST_LINES = 5  # of the log in a second
-
-
-class Seldom(logging.Filter):
-    """A few lines a second: CPU is rationed, and trouble that repeats must not take it for logging."""
+class Hangups:
+    """Counts SIGHUP from the first moment, when nothing can be made of it yet: its default is to end us."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.second, self.left, self.dropped = 0, 0, 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self.second:
-            if self.dropped:
-                record.msg = f"({self.dropped} lines left out) {record.msg}"
-            self.second, self.left, self.dropped = int(record.created), MOST_LINES, 0
-        self.left -= 1
-        self.dropped += self.left < 0
-        return self.left >= 0
-
+        self.seen = 0
+        signal.signal(signal.SIGHUP, self.note)
 
-async def serve(config: Config) -> None:
-    told = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
-    node = GatewayNode(config)
-    loop.add_signal_handler(signal.SIGHUP, reload, node)
-    port = await node.start()
-    gc.freeze()  # what the start made stays for good: no collection need look at it again
-    logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
-    await told.wait()
-    await node.stop()
-
-
-def reload(node: GatewayNode) -> None:
-    """SIGHUP: the file of the configuration was replaced. One that cannot be used leaves the old in force."""
-    try:
-        node.reload(read_config(again=True))
-    except ConfigError as err:
-        logging.getLogger(__name__).error("the old configuration stays: %s", err)
-
-
-def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
-    logging.getLogger().handlers[0].addFilter(Seldom())
-    try:
-        uvloop.run(serve(read_config()))
-    except (ConfigError, OSError) as err:
-        print(f"calicomast: {err}", file=sys.stderr)
-        return 2
-    return 0
+    def note(self, *_: object) -> None:
+        self.seen += 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    hangups = Hangups()
+    from calicomast.net.program import main  # takes most of a start: not before signals are seen
+
+    sys.exit(main(hangups))
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -128,14 +128,17 @@
             api.Watch: lambda a: self.discovery.watch(a.on),
             api.Log: lambda a: log.info("module: %s", a.text)}
 
-    async def start(self) -> int:
-        """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
+    async def start(self) -> None:
+        """All but the listener: before the first client comes the module knows its hosts."""
         self.listed(self.config.known)
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
         if self.settings.discovery == "push":
             self.discovery.watch(True)
+
+    async def listen(self) -> int:
+        """Returns the port that clients connect to."""
         return await self.clients.listen(*self.config.listen)
 
     def reload(self, config: Config) -> None:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -249,7 +249,8 @@
         file = self.path / "config.json"
         file.write_text(json.dumps(told(listed, self.discovery.port, self.counter.port, self.settings)))
         self.node = GatewayNode(read_config({"RELAY_CONFIG": str(file)}))
-        self.port = await self.node.start()
+        await self.node.start()
+        self.port = await self.node.listen()
         return self
 
     async def connect(self):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,7 +29,7 @@
 
 def compiled_at_start(root):
     """The parts of the program that a start finds no compiled form of."""
-    told = subprocess.run([sys.executable, "-B", "-v", "-c", "import calicomast.net.__main__"], cwd=root,
+    told = subprocess.run([sys.executable, "-B", "-v", "-c", "import calicomast.net.program"], cwd=root,
                           capture_output=True, text=True, check=True,
                           env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}).stderr
     assert "calicomast/net/gateway.py" in told
@@ -60,7 +60,7 @@
 def test_a_start_imports_no_more_than_it_uses():
     """What takes most CPU of all that a client library for HTTP brings along; hundreds may start at once."""
     heavy = {"aiohttp", "email", "email.parser", "http", "http.client", "urllib.request", "multiprocessing"}
-    code = "import calicomast.net.__main__, sys; print(*sys.modules)"
+    code = "import calicomast.net.program, sys; print(*sys.modules)"
     told = subprocess.run([sys.executable, "-B", "-c", code],
                           cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
     assert "calicomast.net.gateway" in told and not heavy & set(told)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -176,3 +176,53 @@
             client.close()
         program.kill()
         await program.wait()
+
+
+@on_loop
+async def test_a_new_configuration_during_the_start_is_taken_up(tmp_path):
+    """The start waits for the file, so that SIGHUP comes before anything could be made of it."""
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as old, StubDiscovery() as new:
+        new.servers = old.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        os.mkfifo(config)
+        env = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_DISCOVERY": f"127.0.0.1:{old.port}"}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+        text = json.dumps(told([entry(host)], new.port, counter.port))
+        file = await asyncio.to_thread(open, config, "w")  # once the program reads
+        program.send_signal(signal.SIGHUP)
+        os.unlink(config)
+        config.write_text(text)  # for whoever reads it again
+        file.write(text)
+        file.close()
+        await new.calls.get()
+        port = 0
+        while not port:
+            line = (await program.stderr.readline()).decode()
+            assert line
+            port = int(line.rsplit(":", 1)[1]) if "listens on" in line else 0
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(command())
+        assert await read_reply(reader) == SERVED
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+
+
+@on_loop
+async def test_an_address_that_is_still_in_use_is_waited_for(tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        with socket.create_server(("127.0.0.1", 0)) as before:
+            port = before.getsockname()[1]
+            listed = told([entry(host)], discovery.port, counter.port)
+            config.write_text(json.dumps(listed | {"listen": f"127.0.0.1:{port}"}))
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+            assert b"in use" in await program.stderr.readline()
+        while b"listens on" not in (line := await program.stderr.readline()):
+            assert b"in use" in line
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(command())
+        assert await read_reply(reader) == SERVED
+        program.kill()
+        await program.wait()
