Count a request's time from when a late loop may first have had it

Suspect: the guard when the loop lags. Seen by reading, shown by a test: a request's time was counted from the moment at which it was read, and the guard and each attempt's time-out with it. Where the loop was held up (CPU is rationed, and a turn may hold hundreds of commands) it had lain there for as long, so it was answered that much too late; past half a second it is lost. At fault: read_request. Ruled out: the guard itself, which fires 10 ms early on a loop in time. Design: the look at connections each 0.1 s sees how late the loop is; what is read right after a delay may have waited for all of it and has only the rest of its time; with none left it is refused at once. No timer more. Without the fix two of the tests fail.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -232,6 +232,7 @@
         self.away: dict[Client, None] = {}  # that were turned away, oldest first
         self.unread: set[Client] = set()  # those that are not read for now
         self.listener: asyncio.Server | None = None
+        self.look_at = self.looked = self.lag = 0.0  # when the next look is due; when the last was, how late
         self.timer: asyncio.TimerHandle | None = None
         self.looks: asyncio.TimerHandle | None = None
 
@@ -239,6 +240,7 @@
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
         self.sweep()
+        self.look_at = monotonic()
         self.look()
         return self.listener.sockets[0].getsockname()[1]
 
@@ -299,9 +301,15 @@
 
     def look(self) -> None:
         self.looks = asyncio.get_running_loop().call_later(LOOK, self.look)
+        now = monotonic()
+        self.lag, self.looked, self.look_at = max(0.0, now - self.look_at), now, now + LOOK
         for client in [c for c in self.unread if not c.transport.is_closing()]:
             client.look()
 
+    def waited(self) -> float:
+        """How long what is read now may have lain there: the loop was that late just before."""
+        return self.lag if monotonic() - self.looked < self.lag else 0.0
+
     async def no_more(self) -> None:
         """No new connections, but for those that the machine has accepted by now: what they ask was taken."""
         if self.listener is None:
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -274,8 +274,9 @@
         if not (0 < units <= self.settings.most_units and 1 <= spread <= gateways and first < gateways
                 and left <= MOST_LEFT):
             raise BadRequest("field out of range")
-        return api.Request(name.decode(), left - WAY_BACK, customer.decode().lower(), plan, cls.name, units,
-                           first, spread, fields.get(b"r") == b"1", write)
+        left -= WAY_BACK + self.clients.waited()
+        return api.Request(name.decode(), left, customer.decode().lower(), plan, cls.name, units, first,
+                           spread, fields.get(b"r") == b"1", write)
 
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -9,7 +9,7 @@
 from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
 
 from calicomast import interface as api
-from calicomast.net import gateway, hosts
+from calicomast.net import clients, gateway, hosts
 
 
 @on_loop
@@ -287,3 +287,22 @@
         await asyncio.sleep(hosts.REST)
         assert await node.ask(command(b"r2")) == SERVED
         assert len(host.writers) == 1
+
+
+@pytest.mark.parametrize("late", [0.0, 0.4, 5.0])
+@on_loop
+async def test_a_request_read_late_has_only_the_rest_of_its_time(late, tmp_path, monkeypatch):
+    """A loop that was held up for so long cannot know when the bytes came; the client's time went on."""
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        now, server = time.monotonic() + 10.0, node.node.clients
+        monkeypatch.setattr(clients, "monotonic", lambda: now)
+        server.look_at = now - late  # the look that was due then comes now
+        server.look()
+        asked = [b"API.READ", b"00000000b4d65521", b"r1", terms(d="1000")]
+        assert node.node.read_request(asked, False).left == pytest.approx(1.0 - gateway.WAY_BACK - late)
+        now += clients.LOOK
+        server.look()
+        assert node.node.read_request(asked, False).left == pytest.approx(1.0 - gateway.WAY_BACK)
+        if late > 1.0:
+            now, server.lag = server.looked, 600.0
+            assert await node.ask(command(terms=terms(d="1000"))) == b"-BUSY\r\n"  # at once
