Write no call to a connection to the counter that the loop has dropped unsaid

It came up in the turn in which its second to come up was over; uvloop then closes the transport and never tells that it is lost, and Line kept it. Each call of a name on that line raised until the next connection; it was written to no other line, and the module never heard what became of it, so the customer's account made no further call and its requests waited in vain. Ruled out: connections lost in the usual way (connection_lost clears the transport); those to hosts and to discovery, which drop one whose making failed. At fault: Line.keep. Design: where making one failed though it was up, it counts as lost. The test brings a time-out to its end in that turn; without the fix it fails.

--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -146,6 +146,8 @@
                 async with asyncio.timeout(1.0):
                     await loop.create_connection(lambda: self, *self.address)
             except (OSError, TimeoutError):
+                if self.transport is not None:  # it was up as its time ended: dropped unsaid
+                    self.connection_lost(None)
                 await asyncio.sleep(pause)
                 pause = min(BACKOFF_MOST, 2 * pause)
                 continue
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -5,6 +5,7 @@
 import pytest
 from netkit import SERVED, SETTINGS, Node, StubCounter, StubHost, command, on_loop, terms
 
+from calicomast.net import counter as calls
 from calicomast.net.counter import LINES
 
 
@@ -189,3 +190,47 @@
         line.calls[0].started -= 4.1
         line.check()
         assert line.transport is None or line.transport.is_closing()
+
+
+class Expiring:
+    """asyncio, but for time-outs: `caught` has each, to be brought to its end by the test."""
+
+    def __init__(self):
+        self.caught = []
+
+    def __getattr__(self, name):
+        return getattr(asyncio, name)
+
+    def timeout(self, seconds):
+        self.caught.append(asyncio.timeout(None))
+        return self.caught[-1]
+
+
+@on_loop
+async def test_a_connection_that_comes_up_as_its_time_ends_is_not_written_to(monkeypatch):
+    """The loop has told of the connection and then closes it, without telling that it is lost."""
+    monkeypatch.setattr(calls, "asyncio", expiring := Expiring())
+    monkeypatch.setattr(calls, "BACKOFF_LEAST", 0.2)
+    async with StubCounter() as stub:
+        ups, ended, again = [], [], asyncio.Event()
+
+        def up(line):
+            ups.append(line)
+            if len(ups) == 1:
+                assert line.write(calls.Call(1, lambda *told: ended.append(told[1])), b"incr 1 1 1000\r\n")
+                expiring.caught[0].reschedule(0.0)
+            else:
+                again.set()
+
+        line = calls.Line(("127.0.0.1", stub.port), up, 10.0)
+        while len(ups) < 1 or not expiring.caught[0].expired():
+            await asyncio.sleep(0)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert not line.write(calls.Call(2, lambda *told: None), b"incr 2 1 1000\r\n")  # another is asked
+        assert ended == ["timeout"] and not line.calls  # it may have been added
+        await again.wait()
+        done = asyncio.get_running_loop().create_future()
+        assert line.write(calls.Call(3, lambda *told: done.set_result(told[:3])), b"incr 3 1 1000\r\n")
+        assert await done == (3, "ok", 1.0)
+        line.close()
