--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -128,14 +128,17 @@
             api.Watch: lambda a: self.discovery.watch(a.on),
             api.Log: lambda a: log.info("module: %s", a.text)}
 
-    async def start(self) -> int:
-        """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
+    async def start(self) -> None:
+        """All but the listener: before the first client comes the module knows its hosts."""
         self.listed(self.config.known)
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
         if self.settings.discovery == "push":
             self.discovery.watch(True)
+
+    async def listen(self) -> int:
+        """Returns the port that clients connect to."""
         return await self.clients.listen(*self.config.listen)
 
     def reload(self, config: Config) -> None:
@@ -271,8 +274,9 @@
         if not (0 < units <= self.settings.most_units and 1 <= spread <= gateways and first < gateways
                 and left <= MOST_LEFT):
             raise BadRequest("field out of range")
-        return api.Request(name.decode(), left - WAY_BACK, customer.decode().lower(), plan, cls.name, units,
-                           first, spread, fields.get(b"r") == b"1", write)
+        left -= WAY_BACK + self.clients.waited()
+        return api.Request(name.decode(), left, customer.decode().lower(), plan, cls.name, units, first,
+                           spread, fields.get(b"r") == b"1", write)
 
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
