--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -193,10 +193,11 @@
 
 
 class Expiring:
-    """asyncio, but for time-outs: `caught` has each, to be brought to its end by the test."""
+    """asyncio, but for its clock: `caught` has each time-out, to be brought to its end by the test, and a
+    pause lasts until `go` is set."""
 
     def __init__(self):
-        self.caught = []
+        self.caught, self.go = [], asyncio.Event()
 
     def __getattr__(self, name):
         return getattr(asyncio, name)
@@ -205,12 +206,14 @@
         self.caught.append(asyncio.timeout(None))
         return self.caught[-1]
 
+    async def sleep(self, seconds):
+        await self.go.wait()
+
 
 @on_loop
 async def test_a_connection_that_comes_up_as_its_time_ends_is_not_written_to(monkeypatch):
     """The loop has told of the connection and then closes it, without telling that it is lost."""
     monkeypatch.setattr(calls, "asyncio", expiring := Expiring())
-    monkeypatch.setattr(calls, "BACKOFF_LEAST", 0.2)
     async with StubCounter() as stub:
         ups, ended, again = [], [], asyncio.Event()
 
@@ -225,10 +228,9 @@
         line = calls.Line(("127.0.0.1", stub.port), up, 10.0)
         while len(ups) < 1 or not expiring.caught[0].expired():
             await asyncio.sleep(0)
-        for _ in range(3):
-            await asyncio.sleep(0)
         assert not line.write(calls.Call(2, lambda *told: None), b"incr 2 1 1000\r\n")  # another is asked
         assert ended == ["timeout"] and not line.calls  # it may have been added
+        expiring.go.set()
         await again.wait()
         done = asyncio.get_running_loop().create_future()
         assert line.write(calls.Call(3, lambda *told: done.set_result(told[:3])), b"incr 3 1 1000\r\n")
