--- a/calicomast/adapter.py
+++ b/calicomast/adapter.py
@@ -15,8 +15,17 @@
 from calicomast.settings import NS, flag, read_report, read_settings, seconds
 
 STATE = {"U": "up", "L": "leaving", "D": "down"}
-RESULT = {"GOOD": "ok", "BAD": "error", "FULL": "full", "LATE": "timeout", "NOCONN": "connect_failed",
-          "RST": "reset", "CXL": "cancelled", "NOP": "moot"}
+RESULT = {
+    "GOOD": "ok",
+    "BAD": "error",
+    "FULL": "full",
+    "LATE": "timeout",
+    "NOCONN": "connect_failed",
+    "RST": "reset",
+    "CXL": "cancelled",
+    "NOP": "moot",
+}
+
 
 class WireError(Exception):
     """A line that does not follow the wire; `inst` is the instance it named, if any."""
@@ -44,23 +53,45 @@
 
 
 def _host(f: dict[str, str]) -> api.Host:
-    return api.Host(id=f["host"], zone=f.get("zone", ""), cell=int(f.get("unit_group", 0)),
-                    weight=float(f.get("heft", 1)), kind=f.get("flavor", ""), state=STATE[f["availability"]],
-                    started=seconds(f.get("ready_at", "0")))
+    return api.Host(
+        id=f["host"],
+        zone=f.get("zone", ""),
+        cell=int(f.get("unit_group", 0)),
+        weight=float(f.get("heft", 1)),
+        kind=f.get("flavor", ""),
+        state=STATE[f["availability"]],
+        started=seconds(f.get("ready_at", "0")),
+    )
 
 
 def _work_item(f: dict[str, str]) -> api.Request:
     marks = int(f.get("marks", 0))
-    return api.Request(id=f["txn"], left=seconds(f["patience_left"]), customer=f["customer"], plan=f["tier"],
-                       cls=f["type"], units=float(f["cost_units"]), first=int(float(f.get("first", 0))),
-                       spread=int(float(f["n_entries"])), repeat=bool(marks & 2), write=bool(marks & 4))
+    return api.Request(
+        id=f["txn"],
+        left=seconds(f["patience_left"]),
+        customer=f["customer"],
+        plan=f["tier"],
+        cls=f["type"],
+        units=float(f["cost_units"]),
+        first=int(float(f.get("first", 0))),
+        spread=int(float(f["n_entries"])),
+        repeat=bool(marks & 2),
+        write=bool(marks & 4),
+    )
 
 
 def _outcome(f: dict[str, str]) -> api.Outcome:
-    return api.Outcome(id=f["txn"], attempt=int(f["attempt"]), host=f["host"], result=RESULT[f["reason"]],
-                       elapsed=seconds(f.get("time_taken", "0")), final=flag(f, "terminal"),
-                       used=int(float(f.get("fleet_use", 0))), actual=float(f.get("actual", 0)),
-                       report=_stats(f))
+    return api.Outcome(
+        id=f["txn"],
+        attempt=int(f["attempt"]),
+        host=f["host"],
+        result=RESULT[f["reason"]],
+        elapsed=seconds(f.get("time_taken", "0")),
+        final=flag(f, "terminal"),
+        used=int(float(f.get("fleet_use", 0))),
+        actual=float(f.get("actual", 0)),
+        report=_stats(f),
+    )
 
 
 def _memo(f: dict[str, str]) -> api.Message:
@@ -70,15 +101,22 @@
 READERS = {
     "WORK_ITEM": _work_item,
     "REPORT_BACK": _outcome,
-    "ADDED": lambda f: api.Counted(name=int(f["entry_name"]), result=RESULT[f["reason"]],
-                                   total=float(f.get("now_at", 0)),
-                                   elapsed=seconds(f.get("time_taken", "0"))),
-    "PING_RESULT": lambda f: api.Probed(host=f["host"], result=RESULT[f["reason"]],
-                                        elapsed=seconds(f.get("time_taken", "0")),
-                                        report=_stats(f)),
+    "ADDED": lambda f: api.Counted(
+        name=int(f["entry_name"]),
+        result=RESULT[f["reason"]],
+        total=float(f.get("now_at", 0)),
+        elapsed=seconds(f.get("time_taken", "0")),
+    ),
+    "PING_RESULT": lambda f: api.Probed(
+        host=f["host"],
+        result=RESULT[f["reason"]],
+        elapsed=seconds(f.get("time_taken", "0")),
+        report=_stats(f),
+    ),
     "DUE": lambda f: api.Timer(label=int(f["label"])),
-    "BEGUN": lambda f: api.Began(id=f["txn"], attempt=int(f["attempt"]), host=f["host"],
-                                 elapsed=seconds(f.get("time_taken", "0"))),
+    "BEGUN": lambda f: api.Began(
+        id=f["txn"], attempt=int(f["attempt"]), host=f["host"], elapsed=seconds(f.get("time_taken", "0"))
+    ),
     "DROPPED": lambda f: api.Gone(id=f["txn"]),
     "MEMO": _memo,
 }
@@ -93,8 +131,9 @@
     api.Refuse: lambda i, a: f"DECLINE i={i} txn={a.id} hold_off={_ns(a.retry_after)}",
     api.Fail: lambda i, a: f"DROP_REQUEST i={i} txn={a.id}",
     api.Cancel: lambda i, a: f"REVOKE i={i} txn={a.id} attempt={a.attempt}",
-    api.Count: lambda i, a: f"CHARGE_COUNTER i={i} entry_name={a.name} by={a.amount:.7g} "
-                            f"forget_after={_ns(a.lifetime)}",
+    api.Count: lambda i, a: (
+        f"CHARGE_COUNTER i={i} entry_name={a.name} by={a.amount:.7g} forget_after={_ns(a.lifetime)}"
+    ),
     api.SetTimer: lambda i, a: f"AFTER i={i} sleep_for={_ns(a.delay)} label={a.label}",
     api.Probe: lambda i, a: f"TOUCH i={i} host={a.host}",
     api.Close: lambda i, a: f"RELEASE i={i} host={a.host}",
@@ -152,8 +191,11 @@
                 self.gateways.pop(inst, None)
                 return
             elif word == "TARGETS":
-                event = api.HostList(mode=f["mode"], version=int(f.get("index", 0)),
-                                     hosts=self._hosts(int(f.get("rows_in", 0))))
+                event = api.HostList(
+                    mode=f["mode"],
+                    version=int(f.get("index", 0)),
+                    hosts=self._hosts(int(f.get("rows_in", 0))),
+                )
             elif word in READERS:
                 event = READERS[word](f)
             else:
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -54,8 +54,17 @@
     ceiling_slack: float
 
     def __post_init__(self) -> None:
-        low = min(self.rate, self.burst, self.open_limit, self.price, self.over_worth, self.over_cost,
-                  self.ceiling_rate, self.ceiling_burst, self.ceiling_slack)
+        low = min(
+            self.rate,
+            self.burst,
+            self.open_limit,
+            self.price,
+            self.over_worth,
+            self.over_cost,
+            self.ceiling_rate,
+            self.ceiling_burst,
+            self.ceiling_slack,
+        )
         _need(low >= 0, f"plan {self.name}: negative figure")
         _need(self.rate == 0 or self.burst > 0, f"plan {self.name}: a rate needs a burst")
         _need(self.ceiling_rate == 0 or self.ceiling_burst > 0, f"plan {self.name}: a ceiling needs a burst")
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -154,7 +154,8 @@
     def owes(self, now: float) -> bool:
         """Whether the client still has to get an answer that counts. Past that time it may never take it."""
         return any(slot.due > now for slot in self.pending) or (
-            self.due > now and self.transport.get_write_buffer_size() > 0)
+            self.due > now and self.transport.get_write_buffer_size() > 0
+        )
 
     def hopeless(self, now: float) -> bool:
         """Whether to wait no longer for a client that takes nothing or does not end."""
@@ -265,8 +266,12 @@
                 return True
         for client in [c for c, _ in zip(self.idle, range(MOST_LOOKED_AT), strict=False)]:
             half = client.partial and client.began > now - HALF
-            if not (client.transport.is_closing() or half or client.transport.get_write_buffer_size()
-                    or client.unread()):
+            if not (
+                client.transport.is_closing()
+                or half
+                or client.transport.get_write_buffer_size()
+                or client.unread()
+            ):
                 client.drop()
                 return True
         return False
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -52,11 +52,15 @@
             listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
             discovery=read_address((not again and env.get("RELAY_DISCOVERY")) or told["discovery"]),
             counter=read_address(counter) if counter else None,
-            seed=int(told["seed"], 16), memory=int(told["limits"]["memory_mb"]) * 1024 * 1024,
+            seed=int(told["seed"], 16),
+            memory=int(told["limits"]["memory_mb"]) * 1024 * 1024,
             sockets=int(told["limits"]["sockets"]),
-            known=read_list(told["known"], "cached"), settings=settings,
-            connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-            max_open=int(limits["max_open"]))
+            known=read_list(told["known"], "cached"),
+            settings=settings,
+            connect_timeout=seconds(limits["connect_timeout"]),
+            idle_close=seconds(limits["idle_close"]),
+            max_open=int(limits["max_open"]),
+        )
     except KeyError as err:
         raise ConfigError(f"{path}: missing or unknown {err}") from err
     except (OSError, ValueError, TypeError, AttributeError) as err:
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -37,8 +37,15 @@
     one of which always begins within `grace` of the agent's return; a watch is opened again once one was
     answered. One that is late is still listened to while others follow: discovery may just be slow."""
 
-    def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
-                 failed: Callable[[], None], held: bool = False, grace: float = 1.0) -> None:
+    def __init__(
+        self,
+        address: Address,
+        version: int,
+        told: Callable[[Listing], None],
+        failed: Callable[[], None],
+        held: bool = False,
+        grace: float = 1.0,
+    ) -> None:
         self.address, self.version, self.told, self.failed, self.held = address, version, told, failed, held
         self.limit, self.pause = min(ANSWER, max(ANSWER_LEAST, grace / 2)), GRACE_PART * grace
         self.well = True  # the last call was answered
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -66,10 +66,10 @@
                 break
             self.at, self.left = line + 2, self.left - 1
             if kind in b"$*":
-                self.length(kind == 42, buffer[at + 1:line], at)
+                self.length(kind == 42, buffer[at + 1 : line], at)
             if self.at > MOST_MESSAGE:
                 raise FramingError("too long")
-            if self.at <= have and buffer[self.at - 2:self.at] != b"\r\n":
+            if self.at <= have and buffer[self.at - 2 : self.at] != b"\r\n":
                 raise FramingError("a length that does not fit")
         return self.at if not self.left and self.at <= have else 0
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -63,7 +63,6 @@
         self.live: dict[int, Attempt] = {}
         self.over = False
 
-
     def payload(self, left: float) -> bytes:
         """The command as the client sent it, but for `d`: how long this attempt is waited for."""
         terms = self.command[3]
@@ -80,7 +79,7 @@
 
 # The protocol's forms: int() and float() take blanks, signs, `1_0`, `0x1` and more besides.
 WHOLE, DECIMAL = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2 ** 33
+CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2**33
 NAME = re.compile(rb"[!-~]{1,64}")  # ids and keys
 
 
@@ -117,16 +116,28 @@
         self.clients = ClientServer(self, room // 2, self.most_held)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
-        self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
-                                   self.list_failed, bool(config.known.hosts.hosts),
-                                   self.settings.rules.drain_grace)
+        self.discovery = Discovery(
+            config.discovery,
+            config.known.hosts.version,
+            self.listed,
+            self.list_failed,
+            bool(config.known.hosts.hosts),
+            self.settings.rules.drain_grace,
+        )
         self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
         self.actions = {
-            api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
-            api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
-            api.Close: lambda a: self.hosts.close_idle(a.host), api.Fetch: lambda a: self.discovery.fetch(),
+            api.Send: self.send,
+            api.Refuse: self.refuse,
+            api.Fail: self.fail,
+            api.Cancel: self.cancel,
+            api.Count: self.count,
+            api.SetTimer: self.set_timer,
+            api.Probe: self.probe,
+            api.Close: lambda a: self.hosts.close_idle(a.host),
+            api.Fetch: lambda a: self.discovery.fetch(),
             api.Watch: lambda a: self.discovery.watch(a.on),
-            api.Log: lambda a: log.info("module: %s", a.text)}
+            api.Log: lambda a: log.info("module: %s", a.text),
+        }
 
     async def start(self) -> None:
         """All but the listener: before the first client comes the module knows its hosts."""
@@ -151,8 +162,13 @@
         if self.counter and config.counter:
             self.counter.move(config.counter)
         replaced = self.discovery
-        self.discovery = Discovery(config.discovery, replaced.version, self.listed, self.list_failed,
-                                   grace=self.settings.rules.drain_grace)
+        self.discovery = Discovery(
+            config.discovery,
+            replaced.version,
+            self.listed,
+            self.list_failed,
+            grace=self.settings.rules.drain_grace,
+        )
         if replaced.watching:  # the watch begins with the whole list: another service has versions of its own
             self.discovery.watch(True)
         ending = self.loop.create_task(replaced.close())
@@ -271,12 +287,26 @@
         if write == (cls.effect == "safe") or keyless:
             raise BadRequest("class does not go with this command")
         gateways = self.settings.gateways
-        if not (0 < units <= self.settings.most_units and 1 <= spread <= gateways and first < gateways
-                and left <= MOST_LEFT):
+        if not (
+            0 < units <= self.settings.most_units
+            and 1 <= spread <= gateways
+            and first < gateways
+            and left <= MOST_LEFT
+        ):
             raise BadRequest("field out of range")
         left -= WAY_BACK + self.clients.waited()
-        return api.Request(name.decode(), left, customer.decode().lower(), plan, cls.name, units, first,
-                           spread, fields.get(b"r") == b"1", write)
+        return api.Request(
+            name.decode(),
+            left,
+            customer.decode().lower(),
+            plan,
+            cls.name,
+            units,
+            first,
+            spread,
+            fields.get(b"r") == b"1",
+            write,
+        )
 
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
@@ -328,8 +358,12 @@
         work.sends += 1
         if work.slot.client.has_left():
             self.finish(work, b"")
-        if work.over or left <= 0 or number >= self.settings.limits.max_attempts or (
-                work.live and not self.settings.limits.second_copies):
+        if (
+            work.over
+            or left <= 0
+            or number >= self.settings.limits.max_attempts
+            or (work.live and not self.settings.limits.second_copies)
+        ):
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, work.over))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
@@ -353,8 +387,18 @@
         elif result == "ok" and not over:
             self.finish(work, bulk(attempt.value))
         self.forget(work)
-        self.feed(api.Outcome(work.id, number, attempt.host, result, attempt.elapsed(), work.over,
-                              used=attempt.used, report=attempt.report))
+        self.feed(
+            api.Outcome(
+                work.id,
+                number,
+                attempt.host,
+                result,
+                attempt.elapsed(),
+                work.over,
+                used=attempt.used,
+                report=attempt.report,
+            )
+        )
 
     def cancel(self, action: api.Cancel) -> None:
         work = self.works.get(action.id)
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -26,7 +26,7 @@
 REST = 0.02  # s after an answer in which what comes behind it can still show itself: some milliseconds late
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
-AGES = [0.02 * 1.5 ** k for k in range(18)]  # s; steps of the time that connections have rested, up to 20 s
+AGES = [0.02 * 1.5**k for k in range(18)]  # s; steps of the time that connections have rested, up to 20 s
 NEW_COST = 0.1  # part of an attempt that a new connection is worth: the host's work for it, and the time
 LOST_LEAST = 2.0  # attempts saved, from which it is more than chance that rested connections are stale
 FADE = 30.0  # s after which half of what is known of rested connections is forgotten
@@ -44,11 +44,29 @@
     """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known. `wanted`
     is asked before it begins on a connection that had to come up first."""
 
-    __slots__ = ("host", "payload", "done", "tag", "started", "result", "value", "used", "report", "conn",
-                 "timer", "wanted")
-
-    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None,
-                 wanted: Callable[[Attempt], bool] = lambda attempt: True) -> None:
+    __slots__ = (
+        "host",
+        "payload",
+        "done",
+        "tag",
+        "started",
+        "result",
+        "value",
+        "used",
+        "report",
+        "conn",
+        "timer",
+        "wanted",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        payload: bytes,
+        done: Callable[[Attempt], None],
+        tag: Any = None,
+        wanted: Callable[[Attempt], bool] = lambda attempt: True,
+    ) -> None:
         self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
         self.wanted = wanted
         self.result = ""
@@ -371,8 +389,9 @@
     def room(self) -> bool:
         if self.open < self.most:
             return True
-        oldest = min((p.idle[0] for p in self.pools.values() if p.idle), key=lambda c: c.idle_since,
-                     default=None)
+        oldest = min(
+            (p.idle[0] for p in self.pools.values() if p.idle), key=lambda c: c.idle_since, default=None
+        )
         if oldest is None:
             return False
         oldest.close()
--- a/calicomast/net/http.py
+++ b/calicomast/net/http.py
@@ -42,8 +42,9 @@
             self.parser = HttpResponseParser(self)
             self.body, self.sized, self.headed, self.heard = bytearray(), False, False, False
             self.waiting = loop.create_future()
-            self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {self.name}\r\n"
-                                 "Accept: application/json\r\n\r\n".encode())
+            self.transport.write(
+                f"GET {target} HTTP/1.1\r\nHost: {self.name}\r\nAccept: application/json\r\n\r\n".encode()
+            )
             return await self.waiting
         finally:
             self.waiting = None
--- a/calicomast/net/listing.py
+++ b/calicomast/net/listing.py
@@ -33,8 +33,15 @@
     weight, cell = float(told.get("weight", 1.0)), int(told.get("cell", 0))
     if not (isinstance(told["id"], str) and 0 <= weight < math.inf and 0 <= started < math.inf):
         raise ValueError("id, weight or start out of range")
-    host = api.Host(id=told["id"], zone=str(told.get("zone", "")), cell=cell, weight=weight,
-                    kind=str(told.get("kind", "")), state=state, started=started)
+    host = api.Host(
+        id=told["id"],
+        zone=str(told.get("zone", "")),
+        cell=cell,
+        weight=weight,
+        kind=str(told.get("kind", "")),
+        state=state,
+        started=started,
+    )
     return host, read_address(told["addr"]) if told.get("addr") else None
 
 
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -234,8 +234,9 @@
         self.out += 1
         self.rate, self.rate_at = self.own_rate(now) + 1.0 / RATE_SPAN, now
 
-    def answered(self, now: float, event: api.Outcome, cls: api.ServiceClass | None,
-                 keys: tuple[str, ...]) -> None:
+    def answered(
+        self, now: float, event: api.Outcome, cls: api.ServiceClass | None, keys: tuple[str, ...]
+    ) -> None:
         s = self.servers.get(event.host)
         if s is None:  # gone for longer than anything there could matter
             return
@@ -292,8 +293,9 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.set, self.born, self.rng = settings, now, random.Random(seed)
         self.fleet, self.counter = Fleet(settings, self.rng), Counter(settings)
-        self.uses = {(p, level): PlanUse(now, share) for p in self.set.plans
-                     for level, share in enumerate(GRANT_PRIOR)}
+        self.uses = {
+            (p, level): PlanUse(now, share) for p in self.set.plans for level, share in enumerate(GRANT_PRIOR)
+        }
         self.accounts: dict[str, Account] = {}  # in order of their last request
         self.jobs, self.queue = dict[str, Job](), list[Job]()
         self.calls: dict[int, list[Call]] = {}  # by count name, in order of the calls
@@ -348,9 +350,17 @@
         self.free_accounts(now)
         worth = cls.worth * plan.price * req.units
         self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
-        job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
-                                      worth / max(self.fleet.mean[cls.name], 1e-6),
-                                      ("host", "class " + cls.name, "plan " + plan.name))
+        job = self.jobs[req.id] = Job(
+            req,
+            cls,
+            plan,
+            acct,
+            now,
+            now + req.left,
+            worth,
+            worth / max(self.fleet.mean[cls.name], 1e-6),
+            ("host", "class " + cls.name, "plan " + plan.name),
+        )
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
         elif acct.ceiling_room(now) < req.units:
@@ -451,7 +461,7 @@
         if acct.call is not None or not self.counter.usable(now):
             return
         need = sum(self.jobs[i].req.units for i in acct.waiting if i in self.jobs)
-        w, room = acct.block(self.counter.price + CROWD * self.counter.slow ** 2), acct.room(now)
+        w, room = acct.block(self.counter.price + CROWD * self.counter.slow**2), acct.room(now)
         more = acct.lease < w / 2 and room > w * acct.spread and now >= acct.full_until
         due = acct.uncharged > max(1.0, CHARGE_AT * acct.allowance(now, False))
         if not (need or due or (acct.put and more)):
@@ -461,8 +471,9 @@
         if ask + acct.uncharged <= 0:
             self.settle_waiting(now, acct)
             return
-        call = acct.call = Call(acct, "units", acct.k, acct.uncharged, ask, need * (factor - 1),
-                                spare=acct.spare)
+        call = acct.call = Call(
+            acct, "units", acct.k, acct.uncharged, ask, need * (factor - 1), spare=acct.spare
+        )
         acct.total += acct.uncharged
         acct.uncharged = acct.spare = 0.0
         self.count(stable_hash(acct.name, acct.k), call.amount, 3 * acct.length, call)
@@ -525,8 +536,12 @@
         if self.rng.random() < self.counter.chance(SIDE_CALL):  # in a crowd the excess stays counted
             extra -= over
         if extra:
-            self.count(stable_hash(acct.name, acct.k), extra, 3 * acct.length,
-                       Call(acct, "void", acct.k, extra=extra))
+            self.count(
+                stable_hash(acct.name, acct.k),
+                extra,
+                3 * acct.length,
+                Call(acct, "void", acct.k, extra=extra),
+            )
 
     def settle_waiting(self, now: float, acct: Account, again: bool = True) -> None:
         waiting, acct.waiting = acct.waiting, []
@@ -547,14 +562,18 @@
         own, shared = divmod(plan.open_limit, acct.spread)
         rate = max(acct.total, acct.used) / max(now - acct.start, acct.length / 4)
         mean = min(rate, plan.rate or rate) / max(job.req.units, 1e-9) * self.fleet.mean[job.cls.name]
-        over = 1 - sum(mean ** n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
+        over = 1 - sum(mean**n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
         cost = max(0.0, plan.over_cost - plan.over_worth)
         job.stage = "slot"
         if acct.open_here < own:
             job.slot = -1
             acct.open_here += 1
-        elif shared and ask and self.counter.usable(now) and (
-                self.rng.random() < self.counter.chance(max(over, SIDE_CALL) * cost)):
+        elif (
+            shared
+            and ask
+            and self.counter.usable(now)
+            and (self.rng.random() < self.counter.chance(max(over, SIDE_CALL) * cost))
+        ):
             self.count_open(acct, int(now / OPEN_EPOCH) + 1, 1, job)
             self.look(job.deadline, job)
             return
@@ -636,8 +655,10 @@
         if any(h not in self.fleet.servers for h, _ in unproven):
             return False
         known, scope = [self.fleet.servers[h].host for h, _ in unproven], job.cls.scope
-        return all(scope == "all" or (h.zone == s.host.zone if scope == "zone" else h.cell == s.host.cell)
-                   for h in known)
+        return all(
+            scope == "all" or (h.zone == s.host.zone if scope == "zone" else h.cell == s.host.cell)
+            for h in known
+        )
 
     def choose(self, now: float, job: Job) -> Server | None:
         fits = [x for x in self.fleet.up if self.fits(job, x, now)] if job.avoid else None
--- a/calicomast/quota.py
+++ b/calicomast/quota.py
@@ -80,8 +80,9 @@
         if self.put > 0 and self.total - self.carried >= 1:  # the counter told what all passed
             part = min(1.0, self.used / (self.total - self.carried))
             self.part += PART_GAIN * (part - self.part)
-        debt = max(0.0, self.total + self.uncharged * self.spread
-                   - self.plan.rate * self.length * (k - self.k))
+        debt = max(
+            0.0, self.total + self.uncharged * self.spread - self.plan.rate * self.length * (k - self.k)
+        )
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
         self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
@@ -149,7 +150,7 @@
             self.fails = 0
         elif now >= self.retry_at:  # a burst of failures counts once
             self.fails += 1
-            self.retry_at = now + min(BACKOFF_MOST, self.timeout * 2.0 ** self.fails)
+            self.retry_at = now + min(BACKOFF_MOST, self.timeout * 2.0**self.fails)
 
 
 class PlanUse:
--- a/calicomast/settings.py
+++ b/calicomast/settings.py
@@ -12,8 +12,14 @@
 
 EFFECT = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
 DISCOVERY = {"pushed": "push", "on_request": "ask"}
-REPORT = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency", "rps": "rps",
-          "err_rps": "errors"}
+REPORT = {
+    "active": "inflight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency",
+    "rps": "rps",
+    "err_rps": "errors",
+}
 BOOL = {"true": True, "1": True, "false": False, "0": False}
 NS = 1e9
 
@@ -40,41 +46,79 @@
 
 
 def read_settings(t: dict[str, Any]) -> api.Settings:
-    classes = {c["name"]: api.ServiceClass(
-        name=c["name"], aim=seconds(c["slo"]), deadline=seconds(c["deadline"]), effect=EFFECT[c["effect"]],
-        scope=c.get("dedup_scope", "all"), memory=seconds(c.get("memory_span", "0")), worth=float(c["gain"]),
-        late_worth=_num(c, "late_value"), stream=flag(c, "streaming"), aim_stretch=_num(c, "aim_stretch"),
-    ) for c in _items(t["services"])}
-    plans = {p["name"]: api.Plan(
-        name=p["name"], rate=_num(p, "rate"), burst=_num(p, "most_at_once"),
-        open_limit=int(_num(p, "parallel")), price=float(p.get("value_factor", 1)),
-        over_worth=_num(p, "beyond_earns"), over_cost=_num(p, "over_cost"), ceiling_rate=_num(p, "cap_rate"),
-        ceiling_burst=_num(p, "cap_depth"), ceiling_slack=_num(p, "hard_slack"),
-    ) for p in _items(t["plans"])}
+    classes = {
+        c["name"]: api.ServiceClass(
+            name=c["name"],
+            aim=seconds(c["slo"]),
+            deadline=seconds(c["deadline"]),
+            effect=EFFECT[c["effect"]],
+            scope=c.get("dedup_scope", "all"),
+            memory=seconds(c.get("memory_span", "0")),
+            worth=float(c["gain"]),
+            late_worth=_num(c, "late_value"),
+            stream=flag(c, "streaming"),
+            aim_stretch=_num(c, "aim_stretch"),
+        )
+        for c in _items(t["services"])
+    }
+    plans = {
+        p["name"]: api.Plan(
+            name=p["name"],
+            rate=_num(p, "rate"),
+            burst=_num(p, "most_at_once"),
+            open_limit=int(_num(p, "parallel")),
+            price=float(p.get("value_factor", 1)),
+            over_worth=_num(p, "beyond_earns"),
+            over_cost=_num(p, "over_cost"),
+            ceiling_rate=_num(p, "cap_rate"),
+            ceiling_burst=_num(p, "cap_depth"),
+            ceiling_slack=_num(p, "hard_slack"),
+        )
+        for p in _items(t["plans"])
+    }
     lim, rules, spec = t["limits"], t["rules"], t["specifics"]
     names = t.get("reporting", {}).get("names", "")
     return api.Settings(
-        index=int(t["index"]), gateways=int(t["group_size"]), zone=t["locality"],
-        classes=classes, plans=plans,
+        index=int(t["index"]),
+        gateways=int(t["group_size"]),
+        zone=t["locality"],
+        classes=classes,
+        plans=plans,
         limits=api.Limits(
-            cancel=flag(lim, "cancel"), second_copies=flag(lim, "second_copies"),
-            probes=flag(lim, "probes"), peers=flag(lim, "peers"), retry_after=flag(lim, "retry_after"),
+            cancel=flag(lim, "cancel"),
+            second_copies=flag(lim, "second_copies"),
+            probes=flag(lim, "probes"),
+            peers=flag(lim, "peers"),
+            retry_after=flag(lim, "retry_after"),
             max_attempts=int(lim["max_attempts"]),
-            max_retry_after=seconds(lim.get("max_retry_after", "0"))),
+            max_retry_after=seconds(lim.get("max_retry_after", "0")),
+        ),
         rules=api.Rules(
-            answer_slack=seconds(rules["answer_slack"]), drain_grace=seconds(rules["drain_grace"]),
-            cold_share=float(rules["start_capacity"]), cold_time=seconds(rules["cold"]),
-            fall_multiple=float(rules["fall_multiple"]), fall_time=seconds(rules["tip_after"]),
-            ask_within=seconds(rules.get("must_ask_in", "0"))),
+            answer_slack=seconds(rules["answer_slack"]),
+            drain_grace=seconds(rules["drain_grace"]),
+            cold_share=float(rules["start_capacity"]),
+            cold_time=seconds(rules["cold"]),
+            fall_multiple=float(rules["fall_multiple"]),
+            fall_time=seconds(rules["tip_after"]),
+            ask_within=seconds(rules.get("must_ask_in", "0")),
+        ),
         prices={k: float(v) for k, v in t.get("prices", {}).items()},
-        counter=flag(spec, "shared_counter"), counter_price=_num(spec, "counter_price"),
+        counter=flag(spec, "shared_counter"),
+        counter_price=_num(spec, "counter_price"),
         counter_timeout=seconds(spec.get("counter_timeout", "0")),
-        meter_period=seconds(spec.get("meter_period", "0")), settles=flag(spec, "settles"),
-        most_units=float(spec.get("units_top", 1)), discovery=DISCOVERY[t["registry_mode"]],
-        reports=tuple(REPORT[n] for n in _names(names) if n in REPORT), weights=t.get("weights", "none"))
+        meter_period=seconds(spec.get("meter_period", "0")),
+        settles=flag(spec, "settles"),
+        most_units=float(spec.get("units_top", 1)),
+        discovery=DISCOVERY[t["registry_mode"]],
+        reports=tuple(REPORT[n] for n in _names(names) if n in REPORT),
+        weights=t.get("weights", "none"),
+    )
 
 
 def read_report(pairs: Iterable[tuple[str, str] | list[str]]) -> dict[str, float]:
     """The fields of a load report that are known and have a value; latency in seconds."""
-    return {REPORT[name]: float(value) / 1000 if name == "avg_ms" else float(value)
-            for name, value in pairs if name in REPORT and value}
+    return {
+        REPORT[name]: float(value) / 1000 if name == "avg_ms" else float(value)
+        for name, value in pairs
+        if name in REPORT and value
+    }
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,22 +10,58 @@
 
 
 def plan(name="p", **kw):
-    base = dict(rate=2.0, burst=8.0, open_limit=0, price=1.0, over_worth=0.0, over_cost=1.0,
-                ceiling_rate=0.0, ceiling_burst=0.0, ceiling_slack=0.0)
+    base = dict(
+        rate=2.0,
+        burst=8.0,
+        open_limit=0,
+        price=1.0,
+        over_worth=0.0,
+        over_cost=1.0,
+        ceiling_rate=0.0,
+        ceiling_burst=0.0,
+        ceiling_slack=0.0,
+    )
     return api.Plan(name, **{**base, **kw})
 
 
 def settings(plans=None, limits=None, rules=None, **kw):
-    lim = dict(cancel=True, second_copies=True, probes=False, peers=False, retry_after=True,
-               max_attempts=4, max_retry_after=1.0)
-    rul = dict(answer_slack=0.01, drain_grace=1.0, cold_share=0.2, cold_time=10.0, fall_multiple=2.0,
-               fall_time=2.0, ask_within=10.0)
-    base = dict(index=0, gateways=2, zone="z1", classes={c.name: c for c in (READ, WRITE, CELL, NOTE)},
-                plans={p.name: p for p in (plans or [plan()])},
-                limits=api.Limits(**{**lim, **(limits or {})}),
-                rules=api.Rules(**{**rul, **(rules or {})}), prices={"cross_zone": 0.02}, counter=True,
-                counter_price=0.01, counter_timeout=0.05, meter_period=0.0, settles=False, most_units=4.0,
-                discovery="push", reports=("queue",), weights="none")
+    lim = dict(
+        cancel=True,
+        second_copies=True,
+        probes=False,
+        peers=False,
+        retry_after=True,
+        max_attempts=4,
+        max_retry_after=1.0,
+    )
+    rul = dict(
+        answer_slack=0.01,
+        drain_grace=1.0,
+        cold_share=0.2,
+        cold_time=10.0,
+        fall_multiple=2.0,
+        fall_time=2.0,
+        ask_within=10.0,
+    )
+    base = dict(
+        index=0,
+        gateways=2,
+        zone="z1",
+        classes={c.name: c for c in (READ, WRITE, CELL, NOTE)},
+        plans={p.name: p for p in (plans or [plan()])},
+        limits=api.Limits(**{**lim, **(limits or {})}),
+        rules=api.Rules(**{**rul, **(rules or {})}),
+        prices={"cross_zone": 0.02},
+        counter=True,
+        counter_price=0.01,
+        counter_timeout=0.05,
+        meter_period=0.0,
+        settles=False,
+        most_units=4.0,
+        discovery="push",
+        reports=("queue",),
+        weights="none",
+    )
     return api.Settings(**{**base, **kw})
 
 
@@ -71,8 +107,11 @@
         return acts
 
     def end(self, send, result="ok", attempt=0, final=None, elapsed=0.05, **kw):
-        return self.do(api.Outcome(send.id, attempt, send.host, result, elapsed,
-                                   result == "ok" if final is None else final, **kw))
+        return self.do(
+            api.Outcome(
+                send.id, attempt, send.host, result, elapsed, result == "ok" if final is None else final, **kw
+            )
+        )
 
 
 def of(acts, kind):
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -17,34 +17,75 @@
 SERVED = b"$5\r\nvalue\r\n"
 
 SETTINGS = {
-    "group_size": 1, "index": 0, "locality": "a", "registry_mode": "pushed",
-    "limits": {"cancel": True, "second_copies": False, "probes": True, "max_attempts": 3, "retry_after": True,
-               "max_retry_after": 2_000_000_000, "connect_timeout": 250_000_000,
-               "idle_close": 30_000_000_000, "max_open": 20000},
-    "rules": {"answer_slack": 8_000_000, "drain_grace": 1_000_000_000, "start_capacity": 0.2,
-              "cold": 1_000_000_000, "fall_multiple": 2.0, "tip_after": 1_000_000_000},
+    "group_size": 1,
+    "index": 0,
+    "locality": "a",
+    "registry_mode": "pushed",
+    "limits": {
+        "cancel": True,
+        "second_copies": False,
+        "probes": True,
+        "max_attempts": 3,
+        "retry_after": True,
+        "max_retry_after": 2_000_000_000,
+        "connect_timeout": 250_000_000,
+        "idle_close": 30_000_000_000,
+        "max_open": 20000,
+    },
+    "rules": {
+        "answer_slack": 8_000_000,
+        "drain_grace": 1_000_000_000,
+        "start_capacity": 0.2,
+        "cold": 1_000_000_000,
+        "fall_multiple": 2.0,
+        "tip_after": 1_000_000_000,
+    },
     "services": [
         {"name": "read", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "pure", "gain": 1.0},
-        {"name": "write", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "token", "gain": 1.0,
-         "dedup_scope": "cell", "memory_span": 3_000_000_000},
-        {"name": "note", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "side_effect",
-         "gain": 1.0}],
-    "plans": [{"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
-              {"name": "small", "rate": 1.0, "most_at_once": 1.0}],
-    "prices": {"cross_zone": 0.005}, "reporting": {"names": ["active"], "via": "answers"},
-    "specifics": {"shared_counter": True, "counter_price": 0.01, "counter_timeout": 80_000_000,
-                  "units_top": 1},
-    "weights": "none"}
+        {
+            "name": "write",
+            "slo": 1_000_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "token",
+            "gain": 1.0,
+            "dedup_scope": "cell",
+            "memory_span": 3_000_000_000,
+        },
+        {
+            "name": "note",
+            "slo": 1_000_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "side_effect",
+            "gain": 1.0,
+        },
+    ],
+    "plans": [
+        {"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
+        {"name": "small", "rate": 1.0, "most_at_once": 1.0},
+    ],
+    "prices": {"cross_zone": 0.005},
+    "reporting": {"names": ["active"], "via": "answers"},
+    "specifics": {
+        "shared_counter": True,
+        "counter_price": 0.01,
+        "counter_timeout": 80_000_000,
+        "units_top": 1,
+    },
+    "weights": "none",
+}
 
 
 def on_loop(test):
     """Runs an async test on the loop that the gateway runs on."""
+
     @functools.wraps(test)
     def run(*args, **kwargs):
         async def bounded():
             async with asyncio.timeout(PATIENCE):
                 await test(*args, **kwargs)
+
         uvloop.run(bounded())
+
     return run
 
 
@@ -68,10 +109,12 @@
 
 def in_virtual_time(test):
     """Runs an async test that opens no sockets: what it takes is told by the program's own figures alone."""
+
     @functools.wraps(test)
     def run(*args, **kwargs):
         with asyncio.Runner(loop_factory=VirtualLoop) as runner:
             runner.run(test(*args, **kwargs))
+
     return run
 
 
@@ -223,15 +266,29 @@
 
 
 def entry(host, name="h1", state="up", port=None):
-    return {"id": name, "addr": f"127.0.0.1:{port or host.port}", "zone": "a", "kind": "k", "cell": 0,
-            "state": state, "weight": 1.0, "started_ms": 0}
+    return {
+        "id": name,
+        "addr": f"127.0.0.1:{port or host.port}",
+        "zone": "a",
+        "kind": "k",
+        "cell": 0,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+    }
 
 
 def told(listed, discovery_port, counter_port, settings=None):
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery_port}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "counter": f"127.0.0.1:{counter_port}",
-            "known": {"version": 1, "full": True, "servers": listed}, "settings": settings or SETTINGS}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery_port}",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "counter": f"127.0.0.1:{counter_port}",
+        "known": {"version": 1, "full": True, "servers": listed},
+        "settings": settings or SETTINGS,
+    }
 
 
 class Node:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,8 @@
     "rules.drain_grace=1000000000 rules.fall_multiple=2 rules.start_capacity=0.2 rules.tip_after=1000000000 "
     "services.count=1 services.0.name=c services.0.slo=100000000 services.0.deadline=500000000 "
     "services.0.effect=pure services.0.gain=1 specifics.shared_counter=true "
-    "specifics.counter_timeout=30000000 unheard.of=1")
+    "specifics.counter_timeout=30000000 unheard.of=1"
+)
 START = [
     "ROUND at_time=1000000000",
     f"PROVISION i=3 nonce64=7 {OPTIONS}",
@@ -18,10 +19,12 @@
     "HOST host=h1 flavor=k unit_group=0 heft=1 zone=a availability=U odd=1",
     "GO",
 ]
-ASK = ["ROUND at_time=1002000000",
-       "WORK_ITEM i=3 txn=t/1 patience_left=500000000 n_entries=1 cost_units=1 customer=c/1 "
-       "type=c tier=p first=0",
-       "GO"]
+ASK = [
+    "ROUND at_time=1002000000",
+    "WORK_ITEM i=3 txn=t/1 patience_left=500000000 n_entries=1 cost_units=1 customer=c/1 "
+    "type=c tier=p first=0",
+    "GO",
+]
 
 
 def talk(lines):
@@ -31,20 +34,31 @@
 
 
 def test_exchange_sends_and_ends():
-    code, text = talk(["ROUND at_time=5", "GO", ""] + START + ASK + [
-        "ROUND at_time=1010000000",
-        "REPORT_BACK i=3 txn=t/1 attempt=0 host=h1 reason=GOOD time_taken=8000000 terminal=1 "
-        "server_stats=active:2,odd:1",
-        "DETACH i=3", "GO"])
+    code, text = talk(
+        ["ROUND at_time=5", "GO", ""]
+        + START
+        + ASK
+        + [
+            "ROUND at_time=1010000000",
+            "REPORT_BACK i=3 txn=t/1 attempt=0 host=h1 reason=GOOD time_taken=8000000 terminal=1 "
+            "server_stats=active:2,odd:1",
+            "DETACH i=3",
+            "GO",
+        ]
+    )
     assert code == 0 and text.count("ACK\n") == 4
     assert "ASSIGN i=3 txn=t/1 timeout=0 host=h1\n" in text
     assert re.search(r"AFTER i=3 sleep_for=\d+ label=0\n", text)
 
 
 def test_faults_are_named(capsys):
-    for bad, word in (("NONSENSE i=3", "unknown event"), ("DUE i=3", "label"),
-                      ("DUE i=9 label=1", "not been set up"), ("DUE i=3 label", "not name=value"),
-                      ("DUE i=3 label=x", "invalid")):
+    for bad, word in (
+        ("NONSENSE i=3", "unknown event"),
+        ("DUE i=3", "label"),
+        ("DUE i=9 label=1", "not been set up"),
+        ("DUE i=3 label", "not name=value"),
+        ("DUE i=3 label=x", "invalid"),
+    ):
         code, text = talk(START + ["ROUND at_time=1002000000", bad, "GO"])
         assert code == 1
         err = capsys.readouterr().err
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -33,7 +33,7 @@
         self.load, self.units = 1.0, lambda: 1.0
 
     def start(self, index):
-        gateway = Gateway(settings(index=index, **self.kw), self.rng.randrange(2 ** 32), self.now)
+        gateway = Gateway(settings(index=index, **self.kw), self.rng.randrange(2**32), self.now)
         self.tell(gateway, "cached")
         return gateway
 
@@ -78,8 +78,10 @@
             name = f"r{next(self.number)}"
             self.asked[name] = self.units()
             (index,) = self.rng.choices(range(len(self.gateways)), self.shares)
-            self.do(index, api.Request(name, 3.0, f"c{self.rng.randrange(50)}", "p", "read",
-                                       self.asked[name], 0, 1))
+            self.do(
+                index,
+                api.Request(name, 3.0, f"c{self.rng.randrange(50)}", "p", "read", self.asked[name], 0, 1),
+            )
             load = self.load(self.now) if callable(self.load) else self.load
             arrival += self.rng.expovariate(rate * load) if load else 0.1
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,12 +29,20 @@
 
 def compiled_at_start(root):
     """The parts of the program that a start finds no compiled form of."""
-    told = subprocess.run([sys.executable, "-B", "-v", "-c", "import calicomast.net.program"], cwd=root,
-                          capture_output=True, text=True, check=True,
-                          env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}).stderr
+    told = subprocess.run(
+        [sys.executable, "-B", "-v", "-c", "import calicomast.net.program"],
+        cwd=root,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+    ).stderr
     assert "calicomast/net/gateway.py" in told
-    return [line for line in told.splitlines() if "code object from" in line and "calicomast" in line
-            and ".pyc" not in line]
+    return [
+        line
+        for line in told.splitlines()
+        if "code object from" in line and "calicomast" in line and ".pyc" not in line
+    ]
 
 
 def test_a_start_finds_the_program_compiled(built):
@@ -61,6 +69,7 @@
     """What takes most CPU of all that a client library for HTTP brings along; hundreds may start at once."""
     heavy = {"aiohttp", "email", "email.parser", "http", "http.client", "urllib.request", "multiprocessing"}
     code = "import calicomast.net.program, sys; print(*sys.modules)"
-    told = subprocess.run([sys.executable, "-B", "-c", code],
-                          cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    told = subprocess.run(
+        [sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout.split()
     assert "calicomast.net.gateway" in told and not heavy & set(told)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -10,21 +10,47 @@
 from calicomast.net import clients, gateway
 
 
-@pytest.mark.parametrize("bad", [
-    b"*1\r\n$7\r\nUNKNOWN\r\n", b"*0\r\n", b"*-1\r\n", b":5\r\n", b"*2\r\n$8\r\nAPI.READ\r\n:0\r\n",
-    command(terms=terms(d=None)), command(terms=terms(d="soon")), command(terms=terms(d="-1")),
-    command(terms=terms(c="none")), command(terms=terms(t="none")), command(terms=terms(units="nan")),
-    command(terms=terms(spread="0")), command(terms=terms(c="note")), command(terms=b"\xff\xfe"),
-    command(terms=terms(c=None)), command(customer=b"xyz"), command(id=b""), command(body=b"BODY"),
-    command(terms=terms(d="1_0")), command(terms=terms(d="+10")), command(terms=terms(d=" 10")),
-    command(terms=terms(units="0")), command(terms=terms(units="2")), command(terms=terms(units="1_0")),
-    command(terms=terms(spread="2")), command(terms=terms(first="1")), command(terms=terms(first="-1")),
-    command(customer=b"0x000000b4d65521"), command(customer=b"ffffffffb4d65521"), command(id=b"x" * 65),
-    command(terms=terms() + b",d=2000"),
-    command(terms=terms(d="9" * 400)), command(terms=terms(d="9" * 12)), command(terms=terms(units="1e999")),
-    command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
-    command(terms=terms(c="note"), verb=b"API.WRITE", body=b"x" * 65537),
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"*1\r\n$7\r\nUNKNOWN\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b":5\r\n",
+        b"*2\r\n$8\r\nAPI.READ\r\n:0\r\n",
+        command(terms=terms(d=None)),
+        command(terms=terms(d="soon")),
+        command(terms=terms(d="-1")),
+        command(terms=terms(c="none")),
+        command(terms=terms(t="none")),
+        command(terms=terms(units="nan")),
+        command(terms=terms(spread="0")),
+        command(terms=terms(c="note")),
+        command(terms=b"\xff\xfe"),
+        command(terms=terms(c=None)),
+        command(customer=b"xyz"),
+        command(id=b""),
+        command(body=b"BODY"),
+        command(terms=terms(d="1_0")),
+        command(terms=terms(d="+10")),
+        command(terms=terms(d=" 10")),
+        command(terms=terms(units="0")),
+        command(terms=terms(units="2")),
+        command(terms=terms(units="1_0")),
+        command(terms=terms(spread="2")),
+        command(terms=terms(first="1")),
+        command(terms=terms(first="-1")),
+        command(customer=b"0x000000b4d65521"),
+        command(customer=b"ffffffffb4d65521"),
+        command(id=b"x" * 65),
+        command(terms=terms() + b",d=2000"),
+        command(terms=terms(d="9" * 400)),
+        command(terms=terms(d="9" * 12)),
+        command(terms=terms(units="1e999")),
+        command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
+        command(terms=terms(c="note"), verb=b"API.WRITE", body=b"x" * 65537),
+    ],
+)
 @on_loop
 async def test_bad_commands_are_answered_and_the_connection_goes_on(bad, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -35,10 +61,25 @@
         assert not host.commands
 
 
-@pytest.mark.parametrize("bad", [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$70000\r\n" + b"x" * 69900, b"*x\r\n",
-                                 b"*99999999999\r\n", b"*4294967295\r\n", b"*1000000000\r\n", b"*5\r\n*5\r\n",
-                                 b"*1\r\n$60000000\r\n", b"*1\r\n$-7\r\n", b"*1\r\n$4\r\nPINGxx",
-                                 b"*1\r\n$+4\r\nPING\r\n", b"*1\r\n$1_0\r\n", b"%1\r\n", b"*" + b"1" * 2000])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1\r\n$70000\r\n" + b"x" * 69900,
+        b"*x\r\n",
+        b"*99999999999\r\n",
+        b"*4294967295\r\n",
+        b"*1000000000\r\n",
+        b"*5\r\n*5\r\n",
+        b"*1\r\n$60000000\r\n",
+        b"*1\r\n$-7\r\n",
+        b"*1\r\n$4\r\nPINGxx",
+        b"*1\r\n$+4\r\nPING\r\n",
+        b"*1\r\n$1_0\r\n",
+        b"%1\r\n",
+        b"*" + b"1" * 2000,
+    ],
+)
 @on_loop
 async def test_lost_framing_ends_only_its_own_connection(bad, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -87,8 +128,9 @@
         assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
 
 
-@pytest.mark.parametrize("sent, told", [(b"", b""), (b"*4\r\n$8\r\nAPI.R", b"-ERR"),
-                                        (b"*1\r\n$4\r\nPING\r\n", b"+PONG")])
+@pytest.mark.parametrize(
+    "sent, told", [(b"", b""), (b"*4\r\n$8\r\nAPI.R", b"-ERR"), (b"*1\r\n$4\r\nPING\r\n", b"+PONG")]
+)
 @on_loop
 async def test_a_connection_without_a_request_is_closed_in_time(sent, told, tmp_path, monkeypatch):
     monkeypatch.setattr(clients, "IDLE", 0.1)
@@ -280,6 +322,7 @@
 @on_loop
 async def test_a_client_that_sent_much_and_left_is_noticed_though_it_is_not_read(tmp_path):
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+
         class Mute:
             def handle(self, now, event):
                 return []
@@ -383,7 +426,8 @@
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         ping, pong = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
         asked = [blocking(node, ping) for _ in range(60)] + [
-            blocking(node, command(b"r%d" % n)) for n in range(8)]
+            blocking(node, command(b"r%d" % n)) for n in range(8)
+        ]
         assert not node.node.clients.clients
         await node.node.clients.no_more()
         node.node.clients.finish()
@@ -419,6 +463,7 @@
 @on_loop
 async def test_what_a_client_not_read_for_a_while_has_sent_is_served_before_its_close(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         class Mute:
             def handle(self, now, event):
                 return []
@@ -438,5 +483,6 @@
         for work in list(node.node.works.values())[::-1]:  # so that the first releases all the others
             node.node.finish(work, SERVED)
         assert [await read_reply(reader) for _ in range(clients.MOST_PENDING + 2)] == (
-            [SERVED] * (clients.MOST_PENDING + 1) + [b""])
+            [SERVED] * (clients.MOST_PENDING + 1) + [b""]
+        )
         assert [c[2] for c in host.commands] == [b"last"]
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -58,8 +58,9 @@
         assert await results.get() == "ok"
 
 
-@pytest.mark.parametrize("odd", [b"ok\r\n", b"ok many\r\n", b"pong\r\n", b"ok inf\r\n", b"ok 1_0\r\n",
-                                 b"x" * 5000, b"what\r\n"])
+@pytest.mark.parametrize(
+    "odd", [b"ok\r\n", b"ok many\r\n", b"pong\r\n", b"ok inf\r\n", b"ok 1_0\r\n", b"x" * 5000, b"what\r\n"]
+)
 @on_loop
 async def test_odd_answers_of_the_counter_cost_only_the_connection(odd, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -116,7 +117,7 @@
         node.counter.silent = True
         add()
         await node.counter.arrived.get()
-        (spoilt, _), = node.counter.held
+        ((spoilt, _),) = node.counter.held
         spoilt.write(b"ok {}\r\n")
         assert (await results.get())[0] == "spoilt"  # it was added, but what it made is not known
         node.counter.silent = False
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -67,6 +67,7 @@
 async def test_a_module_that_says_nothing_does_not_lose_the_request(tmp_path, monkeypatch):
     monkeypatch.setattr(gateway, "GUARD", 2.0)  # as above
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         class Mute:
             def handle(self, now, event):
                 return []
@@ -80,6 +81,7 @@
 @on_loop
 async def test_a_timer_never_reaches_the_module_early(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         class Clocked:
             def __init__(self):
                 self.early, self.seen, self.done = [], 0, asyncio.Event()
@@ -125,7 +127,6 @@
             await node.connect()
 
 
-
 @on_loop
 async def test_the_end_comes_before_the_kill_that_follows_the_longest_deadline(tmp_path):
     deadline = 0.6
@@ -170,10 +171,10 @@
         assert not node.node.clients.clients and not node.node.works
 
 
-
 @on_loop
 async def test_a_second_copy_is_not_sent_where_it_is_not_allowed(tmp_path):
     async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+
         class Doubler:
             results = []
 
@@ -258,9 +259,12 @@
 @on_loop
 async def test_no_further_attempt_begins_for_a_client_whose_end_lies_unread(tmp_path):
     async with StubHost(None) as one, StubHost(None) as two, Node(one, two, path=tmp_path) as node:
+
         async def begun():
-            await asyncio.wait([asyncio.ensure_future(h.arrived.get()) for h in (one, two)],
-                               return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                [asyncio.ensure_future(h.arrived.get()) for h in (one, two)],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
 
         work = await left_unread(node, begun)
         first, other = (one, two) if one.commands else (two, one)
@@ -274,6 +278,7 @@
 @on_loop
 async def test_no_attempt_begins_on_a_connection_that_came_up_after_the_client_left(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         async def begun():
             assert node.node.hosts.pools["h1"].coming
 
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -19,20 +19,46 @@
 @on_loop
 async def test_a_report_that_says_nothing_sound_is_ignored(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        for n, report in enumerate((b"$-1\r\n", b"$3\r\n???\r\n", b"$10\r\nactive=nan\r\n",
-                                    b"$9\r\nactive=-1\r\n", b"$10\r\nactive=1_0\r\n", b"$3\r\n=,=\r\n",
-                                    b"$12\r\nactive=99999\r\n", b"$10\r\nactive= 1 \r\n",
-                                    b":7\r\n", b"$8\r\nactive=x\r\n")):
+        for n, report in enumerate(
+            (
+                b"$-1\r\n",
+                b"$3\r\n???\r\n",
+                b"$10\r\nactive=nan\r\n",
+                b"$9\r\nactive=-1\r\n",
+                b"$10\r\nactive=1_0\r\n",
+                b"$3\r\n=,=\r\n",
+                b"$12\r\nactive=99999\r\n",
+                b"$10\r\nactive= 1 \r\n",
+                b":7\r\n",
+                b"$8\r\nactive=x\r\n",
+            )
+        ):
             host.answer = b"*3\r\n$1\r\nv\r\n$-1\r\n" + report
             assert await node.ask(command(b"r%d" % n)) == b"$1\r\nv\r\n"
         assert not node.node.module.fleet.reports
 
 
-@pytest.mark.parametrize("odd", [b"+OK\r\n", b"$2\r\nOK\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n",
-                                 b":1\r\n", b"*1\r\n:1\r\n", b"nonsense\r\n", b"$-1\r\n", b"*1000000000\r\n",
-                                 b"*3\r\n*3\r\n*3\r\n", b"*3\r\n$3000000000\r\n",
-                                 b"*3\r\n$-7\r\n$-1\r\n$-1\r\n",
-                                 b"x" * 5000, b"*3\r\n$3\r\nvalue\r\n$-1\r\n$-1\r\n", b"\x88\xa8"])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"+OK\r\n",
+        b"$2\r\nOK\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*1\r\n$-1\r\n",
+        b":1\r\n",
+        b"*1\r\n:1\r\n",
+        b"nonsense\r\n",
+        b"$-1\r\n",
+        b"*1000000000\r\n",
+        b"*3\r\n*3\r\n*3\r\n",
+        b"*3\r\n$3000000000\r\n",
+        b"*3\r\n$-7\r\n$-1\r\n$-1\r\n",
+        b"x" * 5000,
+        b"*3\r\n$3\r\nvalue\r\n$-1\r\n$-1\r\n",
+        b"\x88\xa8",
+    ],
+)
 @on_loop
 async def test_what_is_no_value_of_a_host_is_not_served(odd, tmp_path):
     async with StubHost(odd) as host, Node(host, path=tmp_path) as node:
@@ -128,6 +154,7 @@
 async def test_an_attempt_called_off_has_left_the_host_before_the_next_goes_out(tmp_path):
     """Where second copies are not allowed, one attempt's connection must end before the next is written."""
     async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+
         class Mover:
             def handle(self, now, event):
                 if isinstance(event, api.Request):
@@ -189,6 +216,7 @@
     now = time.monotonic()
     monkeypatch.setattr(hosts, "monotonic", lambda: now)
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+
         async def ask(name):
             asked = asyncio.create_task(node.ask(command(name)))
             while not await host.arrived.get():
@@ -281,6 +309,7 @@
 @on_loop
 async def test_connections_that_are_lost_after_a_rest_are_no_longer_used_after_it(tmp_path):
     async with Forgetful() as host, Node(host, path=tmp_path) as node:
+
         async def ask(n, rest):
             """A request once the host's connections have rested so long."""
             for pool in node.node.hosts.pools.values():
@@ -336,6 +365,7 @@
 
 def first(name):
     """A module's part: each request goes to `name`, and to the other host where it surely never ran."""
+
     class Module:
         results = []
 
@@ -374,8 +404,9 @@
         assert module.results == ["connect_failed"] and len(other.commands) == 1
 
 
-@pytest.mark.parametrize("read, result, answer", [(False, "connect_failed", SERVED),
-                                                  (True, "reset", b"-ERR failed\r\n")])
+@pytest.mark.parametrize(
+    "read, result, answer", [(False, "connect_failed", SERVED), (True, "reset", b"-ERR failed\r\n")]
+)
 @on_loop
 async def test_a_request_may_have_run_from_its_last_byte_on(read, result, answer, tmp_path, monkeypatch):
     made = hosts.Connection.connection_made
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -31,7 +31,8 @@
                 return
             if then == "reset":
                 writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
                 writer.transport.abort()
                 return
 
@@ -41,8 +42,10 @@
     return conn, await conn.get("/v1/endpoints?index=1&wait=1")
 
 
-@pytest.mark.parametrize("text", [
-    SIZED, CHUNKED, b"HTTP/1.1 100 Continue\r\n\r\n" + SIZED, SIZED.replace(b"Content-L", b"cONTENT-l")])
+@pytest.mark.parametrize(
+    "text",
+    [SIZED, CHUNKED, b"HTTP/1.1 100 Continue\r\n\r\n" + SIZED, SIZED.replace(b"Content-L", b"cONTENT-l")],
+)
 @on_loop
 async def test_a_whole_answer_is_given_and_its_connection_used_again(text):
     async with Script((text, ""), (text, "")) as script:
@@ -64,13 +67,19 @@
             await get(script)
 
 
-@pytest.mark.parametrize("text, then, error", [
-    (b"nonsense\r\n\r\n", "", ValueError), (OK + b"Content-Length: x\r\n\r\n", "", ValueError),
-    (OK + b"Content-Length: 9\r\n\r\nbody", "end", ConnectionError), (b"", "end", ConnectionError),
-    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "", StatusError),
-    (b"HTTP/1.1 100 Continue\r\n\r\n", "end", StatusError),
-    (OK + b"Content-Length: 9999\r\n\r\n" + b"x" * 1001, "", ValueError),
-    (OK + b"\r\n" + b"x" * 1001, "", ValueError)])
+@pytest.mark.parametrize(
+    "text, then, error",
+    [
+        (b"nonsense\r\n\r\n", "", ValueError),
+        (OK + b"Content-Length: x\r\n\r\n", "", ValueError),
+        (OK + b"Content-Length: 9\r\n\r\nbody", "end", ConnectionError),
+        (b"", "end", ConnectionError),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "", StatusError),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", "end", StatusError),
+        (OK + b"Content-Length: 9999\r\n\r\n" + b"x" * 1001, "", ValueError),
+        (OK + b"\r\n" + b"x" * 1001, "", ValueError),
+    ],
+)
 @on_loop
 async def test_what_is_no_whole_answer_is_an_error_and_ends_the_connection(text, then, error):
     async with Script((text, then)) as script:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -26,12 +26,21 @@
     return json.dumps(told([], 1, 2) | kw)
 
 
-@pytest.mark.parametrize("text, word", [
-    (None, "RELAY_CONFIG"), ("{", "Expecting"), ("[]", "list"), ("{}", "settings"),
-    (spoilt(seed="xyz"), "xyz"), (spoilt(listen="nowhere"), "nowhere"),
-    (spoilt(counter=""), "counter"), (spoilt(settings={}), "limits"),
-    (spoilt(known={"version": 1}), "list of hosts"), (spoilt(listen="127.0.0.1:99999999"), "99999999"),
-])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        (None, "RELAY_CONFIG"),
+        ("{", "Expecting"),
+        ("[]", "list"),
+        ("{}", "settings"),
+        (spoilt(seed="xyz"), "xyz"),
+        (spoilt(listen="nowhere"), "nowhere"),
+        (spoilt(counter=""), "counter"),
+        (spoilt(settings={}), "limits"),
+        (spoilt(known={"version": 1}), "list of hosts"),
+        (spoilt(listen="127.0.0.1:99999999"), "99999999"),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line(text, word, tmp_path):
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
     if text is not None:
@@ -49,7 +58,8 @@
         config = tmp_path / "config.json"
         config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
         program = await asyncio.create_subprocess_exec(
-            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+        )
         port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(PING)
@@ -75,7 +85,8 @@
             text = told([entry(host)], discovery.port, counter.port) | {"listen": f"127.0.0.1:{port}"}
             config.write_text(json.dumps(text))
             program = await asyncio.create_subprocess_exec(
-                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+            )
             port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(command(life))
@@ -86,8 +97,14 @@
 
 @on_loop
 async def test_sighup_moves_to_the_addresses_in_the_file(tmp_path):
-    async with (StubHost(None) as host, StubHost() as new, StubCounter() as counter,
-                StubCounter() as counter2, StubDiscovery() as discovery, StubDiscovery() as discovery2):
+    async with (
+        StubHost(None) as host,
+        StubHost() as new,
+        StubCounter() as counter,
+        StubCounter() as counter2,
+        StubDiscovery() as discovery,
+        StubDiscovery() as discovery2,
+    ):
         discovery.servers, discovery2.servers, discovery2.version = [entry(host)], [entry(new, "h2")], 1
         config = tmp_path / "config.json"
         config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
@@ -134,8 +151,7 @@
 @on_loop
 async def test_idle_clients_fill_no_descriptor_that_something_else_needs(sockets, tmp_path):
     """While discovery is silent, which takes one for each call that is out, up to its limit."""
-    async with (StubHost() as host, StubHost() as new, StubCounter() as counter,
-                StubDiscovery() as discovery):
+    async with StubHost() as host, StubHost() as new, StubCounter() as counter, StubDiscovery() as discovery:
         discovery.servers, discovery.silent = [entry(host)], True
         config = tmp_path / "config.json"
         text = told([entry(host)], discovery.port, counter.port)
@@ -145,7 +161,8 @@
         text["listen"] = f"127.0.0.1:{port}"
         config.write_text(json.dumps(text))
         program = await asyncio.create_subprocess_exec(
-            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.DEVNULL)
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.DEVNULL
+        )
         resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         while not await listens(port):
             pass
@@ -217,7 +234,8 @@
             listed = told([entry(host)], discovery.port, counter.port)
             config.write_text(json.dumps(listed | {"listen": f"127.0.0.1:{port}"}))
             program = await asyncio.create_subprocess_exec(
-                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+            )
             assert b"in use" in await program.stderr.readline()
         while b"listens on" not in (line := await program.stderr.readline()):
             assert b"in use" in line
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -284,8 +284,11 @@
 
 
 def test_a_spoilt_answer_of_the_counter_does_not_stop_the_next_call():
-    for result, elapsed, again in (("spoilt", 0.002, True), ("timeout", 0.002, True),
-                                   ("timeout", 0.05, False)):
+    for result, elapsed, again in (
+        ("spoilt", 0.002, True),
+        ("timeout", 0.002, True),
+        ("timeout", 0.05, False),
+    ):
         w = World(settings(plans=[plan(rate=2.0, burst=8.0)]))
         w.mode = "hold"
         calls = []
@@ -407,8 +410,9 @@
 
 def test_a_customer_of_many_gateways_that_keeps_just_within_its_rate_is_hardly_refused():
     rng, counts = random.Random(5), {}
-    worlds = [World(settings(gateways=20, plans=[plan(rate=4.0, burst=8.0)], index=k), seed=k)
-              for k in range(20)]
+    worlds = [
+        World(settings(gateways=20, plans=[plan(rate=4.0, burst=8.0)], index=k), seed=k) for k in range(20)
+    ]
     passed = 0
     for w in worlds:
         w.counts = counts
