Emulate fleets of hollow gateways and run real ones before stand-ins

python -m emulator list | run | report: twelve scenarios, eight of them of the decision module in virtual time (lists, subsets, start storms, quotas, silence of the counter, accounts, cold starts, an ordinary stretch), four of the real program on loopback.

--- /dev/null
+++ b/emulator/scenarios/quota.py
@@ -0,0 +1,71 @@
+"""Counter calls per request, by a tenant's rate and by the gateways that it comes through."""
+
+from __future__ import annotations
+
+from calicomast import interface as api
+from emulator.counter_model import CounterModel
+from emulator.deployment import Deployment, PlanShape
+from emulator.hollow import HollowFleet
+from emulator.scenarios.base import Options, Row, Scenario
+from emulator.server_model import ServerModel
+from emulator.tenants import TenantPopulation
+from emulator.virtual_time import Simulation
+
+GATEWAYS, SERVERS = 64, 64
+RATES = (0.25, 1.0, 4.0, 16.0, 64.0)  # of the plan, in units a second
+SPREADS = (2, 8, 32)
+USED = 0.5  # part of the rate that is asked for
+WINDOWS, LEAST_SECONDS, BURST_SECONDS = 6, 20.0, 2.0
+
+
+def measure(rate: float, spread: int, gateways: int, seed: int) -> Row:
+    """One tenant by itself, before a counter that is never crowded."""
+    burst = max(1.0, BURST_SECONDS * rate)
+    seconds = max(LEAST_SECONDS, WINDOWS * burst / rate)
+    deployment = Deployment(gateways, SERVERS, 1, plans=(PlanShape("standard", rate, burst),))
+    simulation = Simulation(start=1000.0)
+    counter = CounterModel(simulation, 1e6, seed=seed)
+    servers = {deployment.server_id(n): ServerModel() for n in range(SERVERS)}
+    fleet = HollowFleet(simulation, deployment.settings, gateways, servers, counter, seed)
+    fleet.deliver_to_all(api.HostList("cached", 1, deployment.hosts()))
+    population = TenantPopulation(1, gateways, spread, 0.0, seed)
+    arrivals = population.arrivals(max(1, int(rate * USED * seconds)), rate * USED)
+    for number, (at, (tenant, index)) in enumerate(
+        zip(arrivals, population.draw(len(arrivals)), strict=True)
+    ):
+        request = api.Request(
+            f"r{number}", 1.5, tenant.name, "standard", "fetch", 1.0, tenant.first, tenant.spread
+        )
+        simulation.at(simulation.now + at, fleet.request, index, request)
+    simulation.run(simulation.now + arrivals[-1] + 3.0)
+    tally = fleet.tally
+    return {
+        "rate": rate,
+        "spread": population.spread,
+        "requests": tally.requests,
+        "served": tally.served,
+        "counter_calls": tally.counter_calls,
+        "calls_per_request": tally.counter_calls / tally.requests,
+        "refused_part": tally.refused / tally.requests,
+    }
+
+
+def run(options: Options) -> list[Row]:
+    """All rates at all spreads."""
+    gateways = options.gateways or GATEWAYS
+    cases = [(rate, spread) for rate in RATES for spread in SPREADS if spread <= gateways]
+    rows = []
+    for done, (rate, spread) in enumerate(cases):
+        options.progress(f"{rate:g} units a second through {spread} gateways", done / len(cases))
+        rows.append(measure(rate, spread, gateways, options.seed))
+    return rows
+
+
+SCENARIO = Scenario(
+    "quota",
+    "hollow",
+    "counter calls per request, by a tenant's rate and the gateways that it comes through",
+    run,
+    ("rate", "spread", "requests", "served", "counter_calls", "calls_per_request", "refused_part"),
+    (("calls_per_request", "spread"),),
+)
--- /dev/null
+++ b/emulator/scenarios/steady.py
@@ -0,0 +1,94 @@
+"""An ordinary stretch at several sizes of the fleet: requests, attempts, counter calls, connections."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import fields
+
+from calicomast import interface as api
+from emulator.counter_model import CounterModel
+from emulator.deployment import Deployment
+from emulator.hollow import FleetTally, HollowFleet
+from emulator.scenarios.base import Options, Row, Scenario, ladder
+from emulator.server_model import ServerModel
+from emulator.tenants import TenantPopulation
+from emulator.virtual_time import Simulation
+
+GATEWAYS, SERVERS_PER_GATEWAY, TENANTS_PER_GATEWAY = 240, 2, 20
+REQUESTS_PER_SERVER, SECONDS = 6.0, 4.0  # a second; of virtual time
+SPREAD, SKEW = 3, 0.6
+COUNTER_CALLS_PER_GATEWAY = 30.0  # a second
+
+
+def play(deployment: Deployment, seed: int, seconds: float = SECONDS) -> tuple[HollowFleet, Row]:
+    """Plays one size; the fleet as it ended, and its row."""
+    simulation = Simulation(start=1000.0)
+    counter = CounterModel(simulation, COUNTER_CALLS_PER_GATEWAY * deployment.gateways, seed=seed)
+    servers = {deployment.server_id(n): ServerModel() for n in range(deployment.servers)}
+    fleet = HollowFleet(simulation, deployment.settings, deployment.gateways, servers, counter, seed)
+    fleet.deliver_to_all(api.HostList("cached", 1, deployment.hosts()))
+    population = TenantPopulation(deployment.tenants, deployment.gateways, SPREAD, SKEW, seed)
+    rate = REQUESTS_PER_SERVER * deployment.servers
+    arrivals = population.arrivals(int(rate * seconds), rate)
+    for number, (at, (tenant, index)) in enumerate(
+        zip(arrivals, population.draw(len(arrivals)), strict=True)
+    ):
+        request = api.Request(
+            f"r{number}",
+            deployment.deadline,
+            tenant.name,
+            "standard",
+            "fetch",
+            1.0,
+            tenant.first,
+            tenant.spread,
+        )
+        simulation.at(simulation.now + at, fleet.request, index, request)
+    began = time.process_time()
+    simulation.run(simulation.now + seconds + 2 * deployment.deadline)
+    cpu = time.process_time() - began
+    tally = fleet.tally
+    peers = [len(fleet.connected[name]) for name in servers]
+    row: Row = {
+        "gateways": deployment.gateways,
+        "servers": deployment.servers,
+        "tenants": deployment.tenants,
+        **tally.as_counts(),
+        "counter_turned_away": counter.tally.turned_away,
+        "gateways_per_server_mean": sum(peers) / len(peers),
+        "gateways_per_server_most": max(peers),
+        "cpu_us_per_request": 1e6 * cpu / max(1, tally.requests),
+    }
+    return fleet, row
+
+
+def run(options: Options) -> list[Row]:
+    """Four sizes of the fleet, each with the same load a server."""
+    rows = []
+    sizes = ladder(options.gateways or GATEWAYS, factor=2.0, least=2)
+    for done, gateways in enumerate(sizes):
+        options.progress(f"{gateways} gateways", done / len(sizes))
+        part = gateways / sizes[-1]
+        servers = max(1, round((options.servers or SERVERS_PER_GATEWAY * sizes[-1]) * part))
+        tenants = max(1, round((options.tenants or TENANTS_PER_GATEWAY * sizes[-1]) * part))
+        rows.append(play(Deployment(gateways, servers, tenants), options.seed)[1])
+    return rows
+
+
+COUNTED = (
+    "gateways",
+    "servers",
+    "tenants",
+    *(field.name for field in fields(FleetTally)),
+    "counter_turned_away",
+    "gateways_per_server_mean",
+    "gateways_per_server_most",
+)
+SCENARIO = Scenario(
+    "steady",
+    "hollow",
+    "an ordinary stretch at four sizes of the fleet: requests, attempts, counter calls, connections",
+    run,
+    COUNTED,
+    (("counter_calls", "requests"), ("handshakes", "servers"), ("cpu_us_per_request", "gateways")),
+)
--- /dev/null
+++ b/emulator/virtual_time.py
@@ -0,0 +1,40 @@
+"""A discrete-event simulation: callbacks in the order of their virtual times."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable
+from typing import Any
+
+
+class Simulation:
+    """Virtual time. Callbacks of one instant run in the order in which they were scheduled.
+
+    Attributes:
+        now: seconds of virtual time; only moves forward.
+    """
+
+    def __init__(self, start: float = 0.0) -> None:
+        self.now = start
+        self._sequence = itertools.count()
+        self._pending: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+
+    def at(self, time: float, callback: Callable[..., None], *arguments: Any) -> None:
+        """Schedules a callback at a virtual time in seconds; one in the past runs next."""
+        entry = (max(time, self.now), next(self._sequence), callback, arguments)
+        heapq.heappush(self._pending, entry)
+
+    def after(self, delay: float, callback: Callable[..., None], *arguments: Any) -> None:
+        """Schedules a callback so many seconds from now."""
+        self.at(self.now + delay, callback, *arguments)
+
+    def run(self, until: float = math.inf) -> None:
+        """Runs callbacks up to the virtual time `until`, in seconds, or until none is left."""
+        while self._pending and self._pending[0][0] <= until:
+            time, _, callback, arguments = heapq.heappop(self._pending)
+            self.now = time
+            callback(*arguments)
+        if math.isfinite(until):
+            self.now = max(self.now, until)
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -10,6 +10,7 @@
 
 from calicomast.net.config import read_config
 from calicomast.net.gateway import GatewayNode
+from emulator.virtual_loop import VirtualLoop
 
 PATIENCE = 20  # s for a test as a whole: far over what any needs
 TERMS = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
@@ -89,24 +90,6 @@
     return run
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """A loop whose clock stands still but where nothing is left to do: it then goes on to the next timer."""
-
-    def __init__(self):
-        super().__init__()
-        self.now, select = 0.0, self._selector.select
-
-        def go_on(timeout=None):
-            assert timeout is not None, "nothing is left that could happen"
-            self.now += timeout
-            return select(0)
-
-        self._selector.select = go_on
-
-    def time(self):
-        return self.now
-
-
 def in_virtual_time(test):
     """Runs an async test that opens no sockets: what it takes is told by the program's own figures alone."""
 
