Split the module into policy, pending, servers, health and quota, and rename what puzzled

Doubt is now FailureDetector, Job PendingRequest, near subset, dice rounding, look check_at, due checks.

--- a/calicomast/quota.py
+++ b/calicomast/quota.py
@@ -42,7 +42,7 @@
     ask: float = 0.0
     extra: float = 0.0  # for those that passed unasked
     spare: float = 0.0  # units of earlier calls that it makes use of
-    job: Any = None  # the request that it is for, where that is one
+    pending: Any = None  # the request that it is for, where that is one
 
     @property
     def amount(self) -> float:
@@ -63,7 +63,7 @@
         self.carried = 0.0  # part of the total that is no use in this window
         self.unsure = 0.0  # amount of calls without answer: it may have been added
         self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
-        self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
+        self.call, self.full_until, self.seen_at, self.rng, self.rounding = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
         self.tries, self.tries_at, self.found_full = 0.0, now, -math.inf  # earlier tries here, faded
         # Ceiling: an even share, no failure can pass it; empty at a start, as the last life's use is unknown.
@@ -88,7 +88,7 @@
         self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
         self.spare = self.unsure = 0.0
         self.carried = debt
-        self.total, self.debt, self.dice = debt, debt, self.rng.random()
+        self.total, self.debt, self.rounding = debt, debt, self.rng.random()
 
     def tried(self, now: float) -> int:
         """Notes a try and tells how far beyond its quota the customer seems to ask, which shows in what came
--- /dev/null
+++ b/calicomast/servers.py
@@ -0,0 +1,205 @@
+"""The servers as one gateway knows them, and the choice among them.
+
+Part of the decisions: policy.py. What a gateway may do by itself is its part of an amount for all; what is
+less than one is drawn as a chance.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+
+from calicomast import interface as api
+from calicomast.health import FailureDetector
+from calicomast.quota import GAIN, QUICK, stable_hash
+
+TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
+GONE_MOST = 30.0  # s that a host which is gone is known: longer than any attempt or repeat on it matters
+CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
+PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
+LIMIT_MOST, ROOM_CLEAR = 4.0, 0.6  # attempts out per server over all gateways; part that is clear room;
+OUT_SLACK = 2.0  # times its even part of them that one gateway may have out: traffic is uneven
+SERVERS_OF_HOST = 2.0  # requests a server works on at once, when nothing tells more
+REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
+CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
+COVER, NEAR_LEAST = 10.0, 8.0  # gateways that keep to one server, about; servers that one keeps to at least
+COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
+TRIAL_LEAST, TRIAL_MOST = 0.02, 0.5  # s; pause of a host after one failure there, and after many in a row
+COLD_PART = 0.4  # of what a cold server bears by the rules, the rest for chance and the others' bursts
+CROSS_WEIGHT = 10.0  # relative service time given to save one unit of the cross-zone price
+
+
+class Server:
+    def __init__(self, host: api.Host, now: float, credit: float, out: dict) -> None:
+        self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
+        self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
+        self.gone_at = math.inf
+        self.rests: dict[str, tuple[int, float]] = {}  # host or class: failures in a row, its next trial
+        self.rank = 0  # place in this gateway's order of servers, another one at each gateway
+        self.credit, self.credit_at, self.rounding = (
+            credit,
+            now,
+            credit,
+        )  # sends it may get from here while cold
+
+    def tried(self, now: float, keys: tuple[str, ...], ok: bool) -> None:
+        """A host that fails at once is always free, so the fuller the sound ones are, the more requests it
+        would draw and spend: one that died before the list tells it, turns all away, resets or errs. After
+        each failure it rests, as a whole or for a class, twice as long up to a bound. Harm: after a chance
+        failure a sound host idles for a moment, and one that comes back is found up to TRIAL_MOST late."""
+        if ok:
+            for key in keys if self.rests else ():
+                self.rests.pop(key, None)
+            return
+        failed = self.rests.get(keys[-1], (0, 0.0))[0] + 1
+        self.rests[keys[-1]] = failed, now + min(TRIAL_MOST, TRIAL_LEAST * 2.0 ** min(failed - 1, 10))
+
+    def resting(self, now: float, keys: tuple[str, ...]) -> bool:
+        return bool(self.rests) and any(now < self.rests.get(key, (0, 0.0))[1] for key in keys)
+
+    def warmth(self, now: float, rules: api.Rules) -> float:
+        age = max(0.0, now - self.host.started)
+        cold = 0 < self.host.started and age < rules.cold_time
+        return rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time if cold else 1.0
+
+
+class Fleet:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self.set, self.rng, self.detector = settings, rng, FailureDetector()
+        self.servers: dict[str, Server] = {}
+        self.up: list[Server] = []
+        self.subset: list[Server] = []  # those of them that this gateway keeps to
+        self.limit = max(1.0, LIMIT_MOST / settings.gateways)
+        self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
+        self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
+        self.rate, self.rate_at = 0.0, 0.0  # own sends a second
+        self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
+        self.pressure, self.answer_at = 0.0, 0.0
+        self.top = 1.0  # largest weight
+
+    def listed(self, now: float, event: api.HostList) -> None:
+        if event.mode not in ("delta", "failed"):
+            named = {h.id for h in event.hosts}
+            for name, server in self.servers.items():
+                if name not in named:
+                    server.up, server.gone_at = False, min(server.gone_at, now)
+        for host in event.hosts:
+            old = self.servers.get(host.id)
+            if old is None or (host.state == "up" and host.started > old.host.started):
+                # Credit starts anywhere below one send: first sends of many gateways are spread over time.
+                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
+                self.servers[host.id].rank = stable_hash("near", self.set.index, host.id)
+            else:
+                old.host, old.up = host, host.state == "up"
+            server = self.servers[host.id]
+            server.gone_at = min(server.gone_at, now) if host.state == "down" else math.inf
+        self.forget(now)
+        self.up = [s for s in self.servers.values() if s.up]
+        self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
+        many = math.ceil(max(NEAR_LEAST, COVER * len(self.up) / self.set.gateways))
+        self.subset = sorted(self.up, key=lambda s: s.rank)[:many] if many < len(self.up) else self.up
+
+    def forget(self, now: float) -> None:
+        """Hosts come under ever new ids: what is gone for long, with nothing out there, is dropped."""
+        for name in [name for name, s in self.servers.items() if now - s.gone_at > GONE_MOST and not s.out]:
+            del self.servers[name]
+            self.detector.forget(name)
+
+    def mean_held(self) -> float:
+        return self.held if self.reports else self.out * self.set.gateways / max(1, len(self.up))
+
+    def own_rate(self, now: float) -> float:
+        return self.rate * math.exp((self.rate_at - now) / RATE_SPAN)
+
+    def patience(self, name: str) -> float:
+        """Time after which an attempt is taken for silent."""
+        return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
+
+    def may_send(self, s: Server, now: float, keys: tuple[str, ...] = ("host",)) -> bool:
+        # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
+        most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
+        if not s.up or len(s.out) >= int(self.limit + s.rounding) or self.out >= most or s.resting(now, keys):
+            return False
+        rules = self.set.rules
+        warm = s.warmth(now, rules)
+        if warm == 1.0:
+            return True
+        # A cold host falls over when all gateways together send more than it bears: credit is saved up.
+        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.subset))
+        s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
+        s.credit_at = now
+        return s.credit >= 1.0
+
+    def room(self, now: float) -> bool:
+        return any(self.may_send(s, now) for s in self.up)
+
+    def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
+        size = s.host.weight / self.top * s.warmth(now, self.set.rules)
+        return size * self.detector.sound(s.host.id, keys, now)
+
+    def score(self, s: Server, keys: tuple[str, ...], now: float) -> float:
+        fresh = 0.5 ** ((now - s.others_at) / REPORT_AGE)  # without a report it is as busy as the rest
+        load = len(s.out) + fresh * s.others + (1 - fresh) * self.mean_held()
+        size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its credit
+        cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT if s.host.zone != self.set.zone else 0.0
+        sound = max(0.01, self.detector.sound(s.host.id, keys, now))
+        return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
+
+    def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
+        """One of those that this gateway keeps to, or of all where none of these is able. A gateway of many
+        that spreads its few requests over all servers opens a connection to each, and learns of none.
+        Harm: servers that more gateways than others keep to are busier, until they are passed over."""
+        pool = self.up if fits is None else fits
+        if len(self.subset) < len(self.up):
+            subset = self.subset if fits is None else [s for s in self.subset if s in fits]
+            return self.best(now, keys, subset) or self.best(now, keys, pool)
+        return self.best(now, keys, pool)
+
+    def best(self, now: float, keys: tuple[str, ...], pool: list[Server]) -> Server | None:
+        """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
+        since the best of all by an old report is the same server for all gateways."""
+        few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
+        if few < len(pool):
+            draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
+            sure = self.rng.random
+            fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now, keys))
+            pool = list(itertools.islice(fit, few)) or pool
+        able = [s for s in pool if self.may_send(s, now, keys)]
+        return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
+
+    def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
+        s.out[key] = now
+        s.credit -= 1.0
+        self.out += 1
+        self.rate, self.rate_at = self.own_rate(now) + 1.0 / RATE_SPAN, now
+
+    def answered(
+        self, now: float, event: api.Outcome, cls: api.ServiceClass | None, keys: tuple[str, ...]
+    ) -> None:
+        s = self.servers.get(event.host)
+        if s is None:  # gone for longer than anything there could matter
+            return
+        out, high = len(s.out), event.result == "timeout"
+        self.out -= s.out.pop((event.id, event.attempt), None) is not None
+        if event.report:
+            held = event.report.get("inflight")
+            if held is None:
+                held = event.report.get("queue", 0.0) + SERVERS_OF_HOST * event.report.get("util", 0.0)
+            s.others, s.others_at = max(0.0, held - out), now
+            self.held += (QUICK if self.reports else 1.0) * (held - self.held)
+            self.reports, high = True, held > CONGESTED
+        if event.result in ("connect_failed", "full", "error", "reset", "ok"):
+            level = keys[:1] if event.result == "connect_failed" else keys
+            self.detector.note(event.host, level, event.result != "ok", now)
+            s.tried(now, level[:2], event.result == "ok")
+        if event.report or event.result in ("ok", "timeout"):
+            gain = max(QUICK / 2, 1 - math.exp((self.answer_at - now) / PRESS_SPAN))
+            self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
+        if event.result != "ok" or cls is None:
+            return
+        s.ratio += QUICK * (min(event.elapsed / max(self.mean[cls.name], 1e-6), 10.0) - s.ratio)
+        self.seen[cls.name] += 1
+        gain, off = max(1 / self.seen[cls.name], GAIN), event.elapsed - self.mean[cls.name]
+        self.mean[cls.name] += gain * off
+        self.dev[cls.name] += gain * (abs(off) * (1 - gain) - self.dev[cls.name])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -60,7 +60,7 @@
         w.do(api.HostList("full" if n % 3 else "delta", n, hosts))
         w.now += 2.0
     assert len(w.gw.fleet.servers) < 40 and len(w.gw.fleet.up) == 1
-    assert len({name for name, _ in w.gw.fleet.doubt.hosts}) < 40
+    assert len({name for name, _ in w.gw.fleet.detector.hosts}) < 40
 
 
 def test_a_host_that_is_gone_is_known_while_something_is_out_there():
@@ -92,15 +92,15 @@
     assert all(8 <= len(s) <= 15 for s in sets)
     keepers = [sum(h.id in s for s in sets) for h in hosts]
     assert min(keepers) >= 2 and max(keepers) <= 20
-    assert len(World(settings(gateways=2), hosts).gw.fleet.near) == 60
+    assert len(World(settings(gateways=2), hosts).gw.fleet.subset) == 60
 
 
 def test_where_none_of_its_own_servers_is_able_another_one_is_used():
     w = World(settings(plans=[BIG], gateways=40), [host(f"h{n}") for n in range(60)])
-    near = {s.host.id for s in w.gw.fleet.near}
+    near = {s.host.id for s in w.gw.fleet.subset}
     asked = [w.ask(cls="note") for _ in range(12)]  # nothing is answered: its part of the attempts is out
     assert {s.host for _, acts in asked for s in of(acts, api.Send)} <= near
-    for s in w.gw.fleet.near:
+    for s in w.gw.fleet.subset:
         s.rests["host"] = 1, w.now + 10.0
     w.gw.fleet.out = 0
     (send,) = of(w.ask(cls="note")[1], api.Send)
@@ -109,7 +109,7 @@
 
 def test_servers_that_go_are_made_up_for_and_the_others_stay():
     w = World(settings(plans=[BIG], gateways=40), [host(f"h{n}") for n in range(60)])
-    before = [s.host.id for s in w.gw.fleet.near]
+    before = [s.host.id for s in w.gw.fleet.subset]
     w.do(api.HostList("delta", 2, (host(before[3], state="leaving"),)))
-    after = [s.host.id for s in w.gw.fleet.near]
+    after = [s.host.id for s in w.gw.fleet.subset]
     assert set(before) - set(after) == {before[3]} and len(after) == 15
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -60,7 +60,7 @@
         with caplog.at_level(logging.CRITICAL):
             assert await node.ask(command(b"bad")) == b"-ERR failed\r\n"
             assert await node.ask(command(b"good")) == SERVED
-        assert module.jobs == {} and not node.node.works
+        assert module.requests == {} and not node.node.works
 
 
 @on_loop
@@ -272,7 +272,7 @@
         while node.node.works:
             await asyncio.sleep(0)
         assert work.over and work.sends == 2 and not other.commands
-        assert not node.node.module.jobs and not node.node.module.fleet.out
+        assert not node.node.module.requests and not node.node.module.fleet.out
 
 
 @on_loop
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -67,7 +67,7 @@
     start = w.now
     n = served(w, 60)
     assert n <= 8 / 2 + 2 * (w.now - start) + 4  # the even share, never a lease
-    assert all(not j.stage == "units" for j in w.gw.jobs.values())
+    assert all(not j.stage == "units" for j in w.gw.requests.values())
     assert w.gw.accounts["c"].lease == 0
 
 
