Let few gateways send to a cold server, by places that each works out alone

Now the gateways stand in an order of their own for each start of a server, an affine permutation of their numbers (admission.py), and only the first of them send, each once in the time of the rule; a budget of 0.9 N, with the warmth at that time's beginning. A request of more than mean work counts as one with the chance 1 / work squared. Where fewer have a place than keep to a warm server, those weigh it the more.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -13,6 +13,7 @@
 import random
 
 from calicomast import interface as api
+from calicomast.admission import charge
 from calicomast.pending import PendingRequest
 from calicomast.quota import (
     CHARGE_AT,
@@ -25,8 +26,9 @@
     PlanUse,
     stable_hash,
 )
-from calicomast.servers import LIMIT_MOST, PRESS_SPAN, PRESSED, ROOM_CLEAR, TICK, Fleet, Server
+from calicomast.servers import LIMIT_MOST, PRESS_SPAN, PRESSED, ROOM_CLEAR, SERVICE_LEAST, TICK, Fleet, Server
 
+LEAST_UNITS = 1e-9  # of a request; below it the mean says nothing
 RESERVE = 0.2  # share of a burst kept from the class worth least a unit, for the one worth most
 CROWD = 0.3  # worth of a call's time at the full time-out (c1 grows as the counter slows), squared share
 SIDE_CALL = 0.15  # worth of a call that only mends a count for others, or finds a limit seldom reached
@@ -53,6 +55,7 @@
         self.accounts: dict[str, Account] = {}  # in order of their last request
         self.requests, self.queue = dict[str, PendingRequest](), list[PendingRequest]()
         self.calls: dict[int, list[Call]] = {}  # by count name, in order of the calls
+        self.units = 0.0  # running mean of a request's
         self.budget = RETRY_START / settings.gateways
         self.top = max(c.worth for c in settings.classes.values())
         self.checks: list[tuple[float, str]] = []  # when which request is to be looked at
@@ -115,6 +118,7 @@
             worth / max(self.fleet.mean[cls.name], 1e-6),
             ("host", "class " + cls.name, "plan " + plan.name),
         )
+        pending.charge = charge(self.work(pending), self.rng.random())
         if req.left < 2 * TICK or self.shed(now, pending):  # no check would come round in time, or no room
             self.refuse(now, pending, 0.0)
         elif acct.ceiling_room(now) < req.units:
@@ -124,6 +128,14 @@
         else:
             self.want_slot(now, pending)
 
+    def work(self, pending: PendingRequest) -> float:
+        """What a request is expected to take, over the mean: units tell it where requests differ in them."""
+        units = pending.req.units
+        self.units += (GAIN if self.units else 1.0) * (units - self.units)
+        if self.set.most_units > 1:
+            return units / max(self.units, LEAST_UNITS)
+        return self.fleet.mean[pending.cls.name] / max(self.fleet.service, SERVICE_LEAST)
+
     def free_accounts(self, now: float) -> None:
         """Many customers come only once. Past its windows an account tells no more than a new one would."""
         for oldest in list(itertools.islice(self.accounts.values(), FREED_AT_ONCE)):
@@ -430,7 +442,7 @@
 
     def choose(self, now: float, pending: PendingRequest) -> Server | None:
         fits = [x for x in self.fleet.up if self.fits(pending, x, now)] if pending.avoid else None
-        return self.fleet.pick(now, pending.keys, fits)
+        return self.fleet.pick(now, pending.keys, fits, pending.charge)
 
     def send(self, now: float, pending: PendingRequest) -> bool:
         if pending.sends >= self.set.limits.max_attempts or pending.streaming:
@@ -440,7 +452,7 @@
             return False
         self.out.append(api.Send(pending.req.id, s.host.id))
         pending.live[pending.sends] = (s.host.id, now)
-        self.fleet.sent(s, (pending.req.id, pending.sends), now)
+        self.fleet.sent(s, (pending.req.id, pending.sends), now, pending.charge)
         pending.sends += 1
         pending.avoid.add(s.host.id)
         pending.stage = "sent"
@@ -448,12 +460,15 @@
         return True
 
     def drain_queue(self, now: float) -> None:
-        stuck: set[str] = set()  # classes that no server has room for; what was tried before has fewer left
+        # Classes that no server has room for, by whether a cold one's place holds their work; what was tried
+        # before has fewer left.
+        stuck: set[tuple[str, bool]] = set()
         for pending in self.queue[::-1] if self.queue and self.fleet.room(now) else ():
             first = not pending.sends
             if not pending.done:
-                if pending.cls.name in stuck or not self.send(now, pending):
-                    stuck.update([pending.cls.name] * first)
+                kind = (pending.cls.name, pending.charge > 1.0)
+                if kind in stuck or not self.send(now, pending):
+                    stuck.update([kind] * first)
                     continue
                 if first:
                     clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST
--- a/calicomast/servers.py
+++ b/calicomast/servers.py
@@ -11,6 +11,7 @@
 import random
 
 from calicomast import interface as api
+from calicomast.admission import ColdAdmission
 from calicomast.health import FailureDetector
 from calicomast.quota import GAIN, QUICK, stable_hash
 
@@ -26,22 +27,21 @@
 COVER, NEAR_LEAST = 10.0, 8.0  # gateways that keep to one server, about; servers that one keeps to at least
 COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
 TRIAL_LEAST, TRIAL_MOST = 0.02, 0.5  # s; pause of a host after one failure there, and after many in a row
-COLD_PART = 0.4  # of what a cold server bears by the rules, the rest for chance and the others' bursts
+SERVICE_LEAST = 1e-3  # s; least time of a request that a server's capacity is judged by
+SIZES = ("nominal", "rough")  # meanings of a weight that tell a server's size
+LEAST_CHARGE = 1e-9  # of a request: whether anything may be sent at all
 CROSS_WEIGHT = 10.0  # relative service time given to save one unit of the cross-zone price
 
 
 class Server:
-    def __init__(self, host: api.Host, now: float, credit: float, out: dict) -> None:
+    def __init__(self, host: api.Host, rounding: float, out: dict) -> None:
         self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
         self.gone_at = math.inf
         self.rests: dict[str, tuple[int, float]] = {}  # host or class: failures in a row, its next trial
         self.rank = 0  # place in this gateway's order of servers, another one at each gateway
-        self.credit, self.credit_at, self.rounding = (
-            credit,
-            now,
-            credit,
-        )  # sends it may get from here while cold
+        self.rounding = rounding  # by which its part of an attempt out is rounded
+        self.admission: ColdAdmission | None = None  # while it may be cold
 
     def tried(self, now: float, keys: tuple[str, ...], ok: bool) -> None:
         """A host that fails at once is always free, so the fuller the sound ones are, the more requests it
@@ -77,6 +77,8 @@
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
         self.top = 1.0  # largest weight
+        self.cold: list[Server] = []  # cold servers that this gateway does not keep to
+        self.service = sum(self.mean.values()) / len(self.mean)  # s that an answer takes, over all classes
 
     def listed(self, now: float, event: api.HostList) -> None:
         if event.mode not in ("delta", "failed"):
@@ -87,9 +89,7 @@
         for host in event.hosts:
             old = self.servers.get(host.id)
             if old is None or (host.state == "up" and host.started > old.host.started):
-                # Credit starts anywhere below one send: first sends of many gateways are spread over time.
-                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
-                self.servers[host.id].rank = stable_hash("near", self.set.index, host.id)
+                self.servers[host.id] = self.new_server(host, old.out if old else {})
             else:
                 old.host, old.up = host, host.state == "up"
             server = self.servers[host.id]
@@ -99,6 +99,15 @@
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
         many = math.ceil(max(NEAR_LEAST, COVER * len(self.up) / self.set.gateways))
         self.subset = sorted(self.up, key=lambda s: s.rank)[:many] if many < len(self.up) else self.up
+        outside = set(self.up) - set(self.subset)
+        self.cold = [s for s in self.up if s in outside and s.warmth(now, self.set.rules) < 1.0]
+
+    def new_server(self, host: api.Host, out: dict) -> Server:
+        server = Server(host, self.rng.random(), out)
+        server.rank = stable_hash("near", self.set.index, host.id)
+        if host.started > 0:
+            server.admission = ColdAdmission(host, self.set.index, self.set.gateways, self.set.rules)
+        return server
 
     def forget(self, now: float) -> None:
         """Hosts come under ever new ids: what is gone for long, with nothing out there, is dropped."""
@@ -116,61 +125,88 @@
         """Time after which an attempt is taken for silent."""
         return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
 
-    def may_send(self, s: Server, now: float, keys: tuple[str, ...] = ("host",)) -> bool:
+    def may_send(
+        self, s: Server, now: float, keys: tuple[str, ...] = ("host",), charge: float = LEAST_CHARGE
+    ) -> bool:
         # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
         most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
         if not s.up or len(s.out) >= int(self.limit + s.rounding) or self.out >= most or s.resting(now, keys):
             return False
         rules = self.set.rules
-        warm = s.warmth(now, rules)
-        if warm == 1.0:
+        if s.admission is None or s.warmth(now, rules) == 1.0:
             return True
-        # A cold host falls over when all gateways together send more than it bears: credit is saved up.
-        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.subset))
-        s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
-        s.credit_at = now
-        return s.credit >= 1.0
+        # The window that ends now began when the server was colder.
+        return s.admission.left(now, s.warmth(now - rules.fall_time, rules), self.capacity(s)) >= charge
+
+    def capacity(self, s: Server) -> float:
+        """Requests of mean work a second that a server serves when it is warm, about. Time in line makes it
+        less than it is, which errs on the safe side."""
+        size = s.host.weight / self.top if self.set.weights in SIZES else 1.0
+        return size * SERVERS_OF_HOST / max(self.service, SERVICE_LEAST)
 
     def room(self, now: float) -> bool:
         return any(self.may_send(s, now) for s in self.up)
 
     def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
-        size = s.host.weight / self.top * s.warmth(now, self.set.rules)
+        size = s.host.weight / self.top * self.cold_weight(s, now)
         return size * self.detector.sound(s.host.id, keys, now)
 
+    def cold_weight(self, s: Server, now: float) -> float:
+        """A cold server's part of a warm one's requests. Where fewer gateways have a place there than keep to
+        a warm one, those send it the more."""
+        warmth = s.warmth(now, self.set.rules)
+        if s.admission is None or warmth == 1.0:
+            return warmth
+        gateways = self.set.gateways
+        keep_to_one = gateways * len(self.subset) / max(1, len(self.up))
+        places = min(gateways, s.admission.budget(warmth, self.capacity(s)))
+        return min(1.0, warmth * max(1.0, keep_to_one / places))
+
     def score(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         fresh = 0.5 ** ((now - s.others_at) / REPORT_AGE)  # without a report it is as busy as the rest
         load = len(s.out) + fresh * s.others + (1 - fresh) * self.mean_held()
-        size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its credit
+        size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its admission
         cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT if s.host.zone != self.set.zone else 0.0
         sound = max(0.01, self.detector.sound(s.host.id, keys, now))
         return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
 
-    def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
-        """One of those that this gateway keeps to, or of all where none of these is able. A gateway of many
-        that spreads its few requests over all servers opens a connection to each, and learns of none.
-        Harm: servers that more gateways than others keep to are busier, until they are passed over."""
+    def pick(
+        self, now: float, keys: tuple[str, ...], fits: list[Server] | None, charge: float
+    ) -> Server | None:
+        """One of those that this gateway keeps to or has a place at while they are cold, or of all where none
+        of these is able. A gateway of many that spreads its few requests over all servers opens a connection
+        to each, and learns of none. Harm: servers that more gateways than others keep to are busier, until
+        they are passed over."""
         pool = self.up if fits is None else fits
         if len(self.subset) < len(self.up):
-            subset = self.subset if fits is None else [s for s in self.subset if s in fits]
-            return self.best(now, keys, subset) or self.best(now, keys, pool)
-        return self.best(now, keys, pool)
-
-    def best(self, now: float, keys: tuple[str, ...], pool: list[Server]) -> Server | None:
+            subset = self.subset + self.admitted(now, keys, charge)
+            subset = subset if fits is None else [s for s in subset if s in fits]
+            return self.best(now, keys, subset, charge) or self.best(now, keys, pool, charge)
+        return self.best(now, keys, pool, charge)
+
+    def admitted(self, now: float, keys: tuple[str, ...], charge: float) -> list[Server]:
+        """Cold servers besides those kept to at which this gateway has a place now."""
+        if self.cold:
+            self.cold = [s for s in self.cold if s.warmth(now, self.set.rules) < 1.0]
+        return [s for s in self.cold if self.may_send(s, now, keys, charge)]
+
+    def best(self, now: float, keys: tuple[str, ...], pool: list[Server], charge: float) -> Server | None:
         """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
         since the best of all by an old report is the same server for all gateways."""
         few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
         if few < len(pool):
             draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
             sure = self.rng.random
-            fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now, keys))
+            sound = (s for s in draws if sure() < self.weight(s, keys, now))
+            fit = (s for s in sound if self.may_send(s, now, keys, charge))
             pool = list(itertools.islice(fit, few)) or pool
-        able = [s for s in pool if self.may_send(s, now, keys)]
+        able = [s for s in pool if self.may_send(s, now, keys, charge)]
         return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
 
-    def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
+    def sent(self, s: Server, key: tuple[str, int], now: float, charge: float) -> None:
         s.out[key] = now
-        s.credit -= 1.0
+        if s.admission is not None and s.warmth(now, self.set.rules) < 1.0:
+            s.admission.note(now, charge)
         self.out += 1
         self.rate, self.rate_at = self.own_rate(now) + 1.0 / RATE_SPAN, now
 
@@ -202,4 +238,5 @@
         self.seen[cls.name] += 1
         gain, off = max(1 / self.seen[cls.name], GAIN), event.elapsed - self.mean[cls.name]
         self.mean[cls.name] += gain * off
+        self.service += gain * (event.elapsed - self.service)
         self.dev[cls.name] += gain * (abs(off) * (1 - gain) - self.dev[cls.name])
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,79 @@
+"""Places of the gateways at a cold server: each works them out alone; together they keep the budget."""
+
+import random
+
+import pytest
+from helpers import World, host, of, plan, settings
+
+from calicomast import interface as api
+from calicomast.admission import ColdAdmission, charge, place
+
+BIG = plan(rate=1000.0, burst=4000.0)
+RULES = settings(rules=dict(cold_share=0.15, cold_time=18.0, fall_multiple=3.0, fall_time=1.0)).rules
+
+
+@pytest.mark.parametrize("gateways", [1, 2, 7, 30, 200])
+def test_each_gateway_has_a_place_of_its_own_and_another_one_at_each_start(gateways):
+    orders = set()
+    for started in (5.0, 5.001, 9.0):
+        places = [place("h1", started, index, gateways) for index in range(gateways)]
+        assert sorted(places) == list(range(gateways))
+        orders.add(tuple(places))
+    assert len(orders) > 1 or gateways < 3
+
+
+def sent_by_all(gateways, seconds, warmth=0.2, capacity=20.0, restart=None):
+    """How much all gateways send in a time in which each sends whatever it may."""
+    cold = host("h1", started=1.0)
+    admissions = [ColdAdmission(cold, index, gateways, RULES) for index in range(gateways)]
+    times = []
+    for step in range(int(seconds * 100)):
+        now = 1.0 + step / 100
+        if restart is not None and step == restart:
+            admissions = [ColdAdmission(cold, index, gateways, RULES) for index in range(gateways)]
+        for admission in admissions:
+            while admission.left(now, warmth, capacity) >= 1.0:
+                admission.note(now, 1.0)
+                times.append(now)
+    return times
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 11, 200])
+def test_all_together_send_the_budget_in_any_window_and_no_more(gateways):
+    times = sent_by_all(gateways, 3.0)
+    budget = ColdAdmission(host("h1", started=1.0), 0, gateways, RULES).budget(0.2, 20.0)
+    assert budget == pytest.approx(0.9 * 3.0 * 0.2 * 20.0)
+    most = max(sum(t <= x < t + 0.9999 for x in times) for t in times)
+    assert budget - 1 < most <= budget + 1
+
+
+def test_a_restart_of_all_gateways_at_once_sends_the_budget_once_more_at_most():
+    times = sent_by_all(200, 0.9, restart=50)
+    assert len(times) <= 2 * (0.9 * 3.0 * 0.2 * 20.0 + 1)
+
+
+def test_work_is_charged_and_what_is_large_seldom_counts_as_one():
+    assert charge(0.4, 0.0) == 0.4 and charge(1.0, 0.9) == 1.0
+    generator = random.Random(1)
+    for work in (2.0, 6.0):
+        passed = [charge(work, generator.random()) == 1.0 for _ in range(20_000)]
+        assert sum(passed) / len(passed) == pytest.approx(1 / work**2, rel=0.15)
+        assert {charge(work, luck / 100) for luck in range(100)} == {1.0, work}
+
+
+def test_a_gateway_without_a_place_sends_nothing_and_one_with_a_place_sends_once():
+    sent = {}
+    for index in range(40):
+        conf = settings(
+            plans=[plan(rate=1000.0, burst=4000.0)], gateways=40, index=index, rules=vars_of(RULES)
+        )
+        w = World(conf, [host("h1", started=1000.0)], seed=index)
+        sends = [s for _ in range(5) for s in of(w.ask()[1], api.Send)]
+        sent[place("h1", 1000.0, index, 40)] = len(sends)
+    budget = sum(sent.values())
+    assert 1 <= budget <= 0.9 * 3.0 * 0.15 * 2 / 0.2 + 1
+    assert all(count == (number < budget) for number, count in sent.items())
+
+
+def vars_of(rules):
+    return {name: getattr(rules, name) for name in ("cold_share", "cold_time", "fall_multiple", "fall_time")}
