Give every server that comes into view its state, whatever is remembered of others

Cause: whether states had to be made was judged by numbers (Fleet.refresh), and servers that are gone count for 30 s: a list that shrank from thousands to hundreds left servers in view without state, and each event then failed. Found by reading. The new test fails without it.

--- a/calicomast/membership.py
+++ b/calicomast/membership.py
@@ -48,7 +48,7 @@
         first = -(-self.group * gateways // groups)
         self.width = -(-(self.group + 1) * gateways // groups) - first  # gateways in this one's group
         self.offset = index - first
-        self.bound = math.inf  # of the ranks in view
+        self.bound, self.trimmed = math.inf, False  # of the ranks in view; whether some ever were outside
         self._scan: Iterator[str] | None = None  # for a new view
         self._found: list[tuple[float, str]] = []  # a heap, the last in the order first
         self._passed_over = False  # whether there was more than that
@@ -131,7 +131,7 @@
         size = self.view_size
         if len(self.view) > VIEW_SPARE * size:
             del self.view[size:]
-            self.bound = self.view[-1][0]
+            self.bound, self.trimmed = self.view[-1][0], True
 
     def _refill(self) -> None:
         small = max(self.subset_size, self.view_size // VIEW_SPARE)
--- a/calicomast/servers.py
+++ b/calicomast/servers.py
@@ -143,7 +143,7 @@
         if not self.stale:
             return
         self.stale = False
-        if self.members.limited or len(self.members.view) > len(self.servers):
+        if self.members.trimmed:
             self.follow_view()
         servers, rules = self.servers, self.set.rules
         self._up = [s for s in servers.values() if s.up]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,6 +185,20 @@
     assert used > 0
 
 
+def test_what_comes_into_view_as_a_list_shrinks_has_state_whatever_is_remembered_of_others():
+    w = world(listed(9000), gateways=400)
+    w.ask()
+    for count in (5000, 1200, 400):
+        kept = listed(9000)[9000 - count :]
+        w.do(api.HostList("full", 2, tuple(kept)))
+        for _ in range(40):
+            w.do(api.Timer(0))
+        (send,) = of(w.ask()[1], api.Send)
+        assert send.host in {s.id for s in kept} and len(w.gw.fleet.subset) == max(8, -(-count // 40))
+        w.end(send)
+    assert {s.host.id for s in w.gw.fleet.up} == {s.id for s in kept}
+
+
 def test_a_list_that_shrinks_below_the_view_is_all_in_view():
     w = world(listed(9000))
     w.do(api.HostList("full", 2, tuple(listed(50))))
