--- a/emulator/scenarios/real.py
+++ b/emulator/scenarios/real.py
@@ -25,9 +25,10 @@
     return Deployment(options.gateways or GATEWAYS_AT_TARGET, servers, plans=(PLAN,))
 
 
-async def with_gateway(
-    shape: Deployment, known: int, measure: Callable[[GatewayProcess, StandInProcess], Awaitable[Row]]
-) -> Row:
+Measure = Callable[[GatewayProcess, StandInProcess], Awaitable[Row]]
+
+
+async def with_gateway(shape: Deployment, known: int, measure: Measure) -> Row:
     """Starts stand-ins and one gateway, and gives what is measured while they run."""
     async with stand_ins() as others:
         await others.command("list", gateways=shape.gateways, servers=shape.servers)
@@ -35,6 +36,20 @@
             return await measure(started, others)
 
 
+async def rows_by_servers(options: Options, sizes: list[int], measure: Measure, known: bool) -> list[Row]:
+    """Measures before lists of several sizes, which the gateway has known from its start or not. One that never
+    is ready has a row that says so."""
+    rows: list[Row] = []
+    for done, servers in enumerate(sizes):
+        options.progress(f"{servers} servers", done / len(sizes))
+        try:
+            row = await with_gateway(deployment(options, servers), servers if known else 0, measure)
+        except ProcessError:
+            row = {"never_ready": True}
+        rows.append({"servers": servers, "never_ready": False} | row)
+    return rows
+
+
 async def list_cost(started: GatewayProcess, others: StandInProcess) -> Row:
     """A start from discovery's list, then quiet seconds, then one change after another."""
     await asyncio.sleep(SETTLE)
@@ -58,18 +73,9 @@
 
 
 async def membership_rows(options: Options) -> list[Row]:
-    """A gateway that knows no servers, before lists of several sizes; one that never is ready has a row that
-    says so."""
+    """A gateway that knows no servers, before lists of several sizes."""
     sizes = ladder(options.servers or SERVERS_AT_TARGET, steps=4, factor=4.7)
-    rows: list[Row] = []
-    for done, servers in enumerate(sizes):
-        options.progress(f"{servers} servers", done / len(sizes))
-        try:
-            row = await with_gateway(deployment(options, servers), 0, list_cost)
-        except ProcessError:
-            row = {"never_ready": True}
-        rows.append({"servers": servers, "never_ready": False} | row)
-    return rows
+    return await rows_by_servers(options, sizes, list_cost, known=False)
 
 
 def added(through: Latencies, direct: Latencies) -> Row:
@@ -86,7 +92,6 @@
     """Requests through a gateway against the same asked directly, first quiet, then with a change of the list
     each second fifty."""
     sizes = [200, options.servers or SERVERS_AT_TARGET]
-    rows: list[Row] = []
 
     async def measure(started: GatewayProcess, others: StandInProcess) -> Row:
         direct = await ask_steadily(others.ports["server"], RATE, SECONDS, CONNECTIONS, PLAN.name)
@@ -106,14 +111,7 @@
             "not_served": direct.not_served + through.not_served + under_change.not_served,
         }
 
-    for done, servers in enumerate(sizes):
-        options.progress(f"{servers} servers listed", done / len(sizes))
-        try:
-            row = await with_gateway(deployment(options, servers), servers, measure)
-        except ProcessError:
-            row = {"never_ready": True}
-        rows.append({"servers": servers, "never_ready": False} | row)
-    return rows
+    return await rows_by_servers(options, sizes, measure, known=True)
 
 
 async def connection_rows(options: Options) -> list[Row]:
@@ -141,7 +139,6 @@
 async def reload_rows(options: Options) -> list[Row]:
     """SIGHUP with a configuration that holds lists of several sizes: CPU, and lists asked of discovery."""
     sizes = ladder(options.servers or SERVERS_AT_TARGET, steps=4, factor=4.7)
-    rows: list[Row] = []
     hangups = 5
 
     async def measure(started: GatewayProcess, others: StandInProcess) -> Row:
@@ -157,14 +154,7 @@
             "whole_lists_per_reload": (asked_after["whole_lists"] - asked["whole_lists"]) / hangups,
         }
 
-    for done, servers in enumerate(sizes):
-        options.progress(f"{servers} servers", done / len(sizes))
-        try:
-            row = await with_gateway(deployment(options, servers), servers, measure)
-        except ProcessError:
-            row = {"never_ready": True}
-        rows.append({"servers": servers, "never_ready": False} | row)
-    return rows
+    return await rows_by_servers(options, sizes, measure, known=True)
 
 
 def on_loop(rows: Callable[[Options], Awaitable[list[Row]]]) -> Callable[[Options], list[Row]]:
