--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -8,12 +8,13 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 
 from calicomast import interface as api
 from calicomast.net.listing import Address, Entry, Listing, read_address
 
 SLICE = 100  # servers that are passed on at once; about a millisecond's work
+COMPARED = 1000  # servers that are compared at once; about a millisecond's work
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +50,7 @@
 
     def take(self, listing: Listing) -> Iterator[None]:
         """Takes a list over, slice by slice; gives way between slices."""
-        changed = self._changed(listing)
+        changed = yield from self._changed(listing)
         mode, first = listing.mode, True
         # What stops comes first: sends to it have to end soon. They are taken from the end.
         changed.reverse()
@@ -61,26 +62,37 @@
             if changed:
                 yield
 
-    def _changed(self, listing: Listing) -> list[Entry]:
+    def _changed(self, listing: Listing) -> Generator[None, None, list[Entry]]:
         """Entries of the list that say something new, and those that a whole list leaves out as gone."""
         entries, listing.entries = listing.entries, []
-        unknown = 0
-        changed = []
-        for entry in entries:
+        changed, unknown = [], 0
+        for number, entry in enumerate(entries):
+            if number and number % COMPARED == 0:
+                yield
             held = self.entries.get(entry.host.id)
             if held == entry:
                 continue
-            if held is None and entry.host.state != "up":
-                unknown += 1
+            unknown += held is None and entry.host.state != "up"
             changed.append(entry)
-        if listing.mode != "delta" and self.entries:
-            named = {entry.host.id for entry in entries}
-            gone = [entry for name, entry in self.entries.items() if name not in named]
-            changed += [Entry(dataclasses.replace(entry.host, state="down"), "") for entry in gone]
+        if listing.mode != "delta":
+            changed += yield from self._left_out(entries)
         if unknown and listing.mode == "delta":
             log.warning("changes: %d servers that were never listed drain or are gone", unknown)
         return changed
 
+    def _left_out(self, entries: list[Entry]) -> Generator[None, None, list[Entry]]:
+        """Those held that a whole list does not name."""
+        if not self.entries:
+            return []
+        named = {entry.host.id for entry in entries}
+        gone = []
+        for number, (name, entry) in enumerate(list(self.entries.items())):
+            if number and number % COMPARED == 0:
+                yield
+            if name not in named:
+                gone.append(Entry(dataclasses.replace(entry.host, state="down"), ""))
+        return gone
+
     def _pass_on(self, entries: list[Entry], mode: str, version: int) -> None:
         """The module hears of it between new servers and those that go: what ends with a server that goes is
         then not sent there once more."""
--- a/emulator/scenarios/real.py
+++ b/emulator/scenarios/real.py
@@ -37,8 +37,8 @@
 
 
 async def rows_by_servers(options: Options, sizes: list[int], measure: Measure, known: bool) -> list[Row]:
-    """Measures before lists of several sizes, which the gateway has known from its start or not. One that never
-    is ready has a row that says so."""
+    """Measures before lists of several sizes, which the gateway has known from its start or not. One that
+    never is ready has a row that says so."""
     rows: list[Row] = []
     for done, servers in enumerate(sizes):
         options.progress(f"{servers} servers", done / len(sizes))
--- a/tests/test_net_listing.py
+++ b/tests/test_net_listing.py
@@ -11,7 +11,7 @@
 from calicomast.net import discovery, gateway, listing, server_table
 from calicomast.net.json_stream import LONGEST_VALUE, JsonArrayReader
 from calicomast.net.listing import PIECE, Entry, ListReader, read_list
-from calicomast.net.server_table import SLICE, ServerTable
+from calicomast.net.server_table import COMPARED, SLICE, ServerTable
 
 assert PATIENCE  # the tests on real sockets are bounded by it
 
@@ -212,6 +212,16 @@
     assert table.table.address("h500") is None and table.table.address("h501")
 
 
+def test_a_long_list_that_says_nothing_new_is_compared_in_steps():
+    table = Table()
+    servers = [told(f"h{n}") for n in range(5 * COMPARED)]
+    table.take(servers)
+    steps, seen = table.take(servers, 4)
+    assert steps == 2 * 4 and seen == [("delta", 4, [])]  # four over the list, four over those that are held
+    steps, seen = table.take(servers[:1], 5)
+    assert steps >= 4 and len(table.table.entries) == 1
+
+
 def test_a_whole_list_without_servers_is_refused_while_some_are_held():
     table = Table()
     table.take([])
