--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import json
+import socket
 
 import hiredis
 import uvloop
@@ -177,6 +178,27 @@
             self.arrived.put_nowait(None)
 
 
+class SaturatedHost(StubHost):
+    """A host whose connections do not come up until `open` was called: its listener's queue is full, and the
+    system sends the first packet again a second later."""
+
+    async def __aenter__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+        return self
+
+    async def make_room(self):
+        for filler in self.fillers:
+            filler.close()
+        self.server = await asyncio.start_server(self.joined, sock=self.listener)
+
+
 class StubCounter(Served):
     """Keeps totals; `silent` leaves calls unanswered until `answer_all`."""
 
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,90 @@
+"""A real gateway whose system calls fail for a moment, as Linux documents."""
+
+import asyncio
+import contextlib
+import errno
+import json
+import os
+import subprocess
+from pathlib import Path
+
+import pytest
+from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+from test_net_process import PROGRAM
+
+from emulator.real.faults import Faults, Field, build_shim
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@pytest.fixture(scope="session")
+def shim(tmp_path_factory):
+    return build_shim(tmp_path_factory.mktemp("shim"))
+
+
+class FaultyGateway:
+    """A real gateway with the shim in it, before one stub of each kind."""
+
+    def __init__(self, shim, path, settings=None):
+        self.faults, self.path, self.settings = Faults(shim, path / "faults"), path, settings
+        self.host, self.counter, self.discovery = StubHost(), StubCounter(), StubDiscovery()
+
+    async def __aenter__(self):
+        self.stack = contextlib.AsyncExitStack()
+        for stub in (self.host, self.counter, self.discovery):
+            await self.stack.enter_async_context(stub)
+        self.discovery.servers = [entry(self.host)]
+        config = self.path / "config.json"
+        text = told(self.discovery.servers, self.discovery.port, self.counter.port, self.settings)
+        config.write_text(json.dumps(text))
+        self.program = await asyncio.create_subprocess_exec(
+            *PROGRAM,
+            cwd=ROOT,
+            env={**os.environ, "RELAY_CONFIG": str(config), **self.faults.environment},
+            stderr=subprocess.PIPE,
+        )
+        while b"listens on" not in (line := await self.program.stderr.readline()):
+            assert line
+        self.port = int(line.decode().rsplit(":", 1)[1])
+        return self
+
+    async def __aexit__(self, *_):
+        with contextlib.suppress(ProcessLookupError):
+            self.program.kill()
+        await self.program.wait()
+        await self.stack.aclose()
+
+    async def ask(self, id, **fields):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(command(id, **fields))
+        answer = await read_reply(reader)
+        writer.close()
+        return answer
+
+    async def until(self, field, count):
+        """Waits until so many calls have failed."""
+        while self.faults[field] < count:
+            await asyncio.sleep(0.005)
+
+
+ACCEPT_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EPROTO)
+MOST_FAILED = 100  # calls of accept in a time in which a loop without a pause makes tens of thousands
+
+
+@on_loop
+async def test_a_failing_accept_takes_no_cpu_and_costs_no_connection_that_waits(shim, tmp_path):
+    async with FaultyGateway(shim, tmp_path) as gateway:
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        for number in ACCEPT_ERRORS:
+            failed = gateway.faults[Field.ACCEPT_FAILED]
+            gateway.faults.fail_accept(number)
+            waiting = [asyncio.create_task(gateway.ask(b"w%d-%d" % (n, number))) for n in range(8)]
+            await gateway.until(Field.ACCEPT_FAILED, failed + 1)
+            for n in range(20):
+                writer.write(command(b"r%d-%d" % (n, number)))
+                assert await read_reply(reader) == SERVED  # while accept still fails
+            assert gateway.faults[Field.ACCEPT_FAILED] - failed < MOST_FAILED
+            gateway.faults.fail_accept(number, every=2)  # a call that follows a failed one may go well
+            assert await asyncio.gather(*waiting) == [SERVED] * 8
+            gateway.faults.fail_accept(0)
+        writer.close()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -486,3 +486,16 @@
             [SERVED] * (clients.MOST_PENDING + 1) + [b""]
         )
         assert [c[2] for c in host.commands] == [b"last"]
+
+
+@on_loop
+async def test_half_a_command_ends_in_time_though_another_is_in_work(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "IDLE", 0.1)
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"r1", terms=terms(d="3600000")))
+        await host.arrived.get()
+        writer.write(command(b"r2")[:9])
+        assert await read_reply(reader) == b"-ERR failed\r\n"
+        assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
+        assert await reader.read() == b""
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -6,7 +6,19 @@
 import time
 
 import pytest
-from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
+from netkit import (
+    SERVED,
+    SETTINGS,
+    VALUE,
+    Node,
+    SaturatedHost,
+    StubHost,
+    command,
+    on_loop,
+    read_reply,
+    terms,
+    write,
+)
 
 from calicomast import interface as api
 from calicomast.net import clients, gateway, hosts
@@ -311,3 +323,27 @@
         if late > 1.0:
             now, server.lag = server.looked, 600.0
             assert await node.ask(command(terms=terms(d="1000"))) == b"-BUSY\r\n"  # at once
+
+
+def settings_with(**limits):
+    """The tests' settings with other limits."""
+    return {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
+
+
+def time_told(host):
+    """The milliseconds that the last command told its host."""
+    return int(dict(term.split(b"=") for term in host.commands[-1][3].split(b","))[b"d"])
+
+
+@on_loop
+async def test_a_connection_that_comes_up_late_tells_what_is_left_then(tmp_path):
+    settings = settings_with(connect_timeout=2_500_000_000)
+    async with SaturatedHost() as host, Node(host, path=tmp_path, settings=settings) as node:
+        reader, writer = await node.connect()
+        writer.write(command())
+        asked = time.monotonic()
+        await asyncio.sleep(0.6)
+        waited = time.monotonic() - asked  # it cannot have come up before
+        await host.make_room()
+        assert await read_reply(reader) == SERVED
+        assert time_told(host) <= 3000 - 1000 * waited + 150
