Ask one place what may begin in the step of the write, and check it after

Cause: an attempt was judged and its payload made when the module decided on it. Change: rules.py, pure and named in policy, answers what may be written, taken on, closed and put in force, with ALLOWED or a typed refusal. The network code asks in the same step as the write, and makes the payload there. The end of the repeat window goes along with Send, with room for a hold-up of 0.15 s; a late write to a cold server has to get its place anew (ColdAdmission.move). Such an attempt ends as 'withheld', which blames no server. invariants.py checks again from the bytes that go out: a violation raises in tests, is counted in production. lifecycle.py names the states of connections, attempts, requests, calls and the process, with the changes that are allowed; events.py counts each end with its reason and logs a few a second.

--- a/calicomast/admission.py
+++ b/calicomast/admission.py
@@ -45,7 +45,8 @@
     def __init__(self, host: api.Host, index: int, gateways: int, rules: api.Rules) -> None:
         self.place = place(host.id, host.started, index, gateways)
         self.gateways, self.rules = gateways, rules
-        self.sent: list[tuple[float, float]] = []  # times and charges, within the time of the rule
+        # Times and charges of what was sent within the time of the rule, by request and attempt.
+        self.sent: dict[tuple[str, int], tuple[float, float]] = {}
 
     def budget(self, warmth: float, capacity: float) -> float:
         """Requests of mean work that all gateways together may send in the time of the rule."""
@@ -59,9 +60,17 @@
         share = int(budget / self.gateways) + (self.place < budget % self.gateways)
         if self.sent:
             since = now - self.rules.fall_time
-            self.sent = [(at, charge) for at, charge in self.sent if at > since]
-        return share - sum(charge for _, charge in self.sent)
-
-    def note(self, now: float, charge: float) -> None:
-        """Something of this charge was sent."""
-        self.sent.append((now, charge))
+            self.sent = {key: noted for key, noted in self.sent.items() if noted[0] > since}
+        return share - sum(charge for _, charge in self.sent.values())
+
+    def note(self, now: float, charge: float, key: tuple[str, int]) -> None:
+        """An attempt of this charge is sent."""
+        self.sent[key] = now, charge
+
+    def move(self, now: float, charge: float, key: tuple[str, int], warmth: float, capacity: float) -> bool:
+        """An attempt that was sent before would be written only now; whether it still has its place."""
+        self.sent.pop(key, None)
+        if self.left(now, warmth, capacity) < charge:
+            return False
+        self.note(now, charge, key)
+        return True
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 EFFECTS = ("safe", "keyed", "unsafe")
 SCOPES = ("all", "zone", "cell")
-RESULTS = ("ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot")
+# An attempt never began, for a reason that is none of the server's. "unsent": this machine could not connect;
+# "withheld": it may not begin any more at the moment at which it could, see rules.py.
+NEVER_BEGAN = ("unsent", "withheld")
+RESULTS = ("ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", *NEVER_BEGAN)
 COUNT_RESULTS = ("ok", "full", "connect_failed", "timeout", "spoilt")  # spoilt: added, total not known
 HOST_STATES = ("up", "leaving", "down")
 MODES = ("delta", "full", "cached", "failed")
@@ -238,17 +242,21 @@
     id: str
     host: str
     timeout: float = 0  # 0: until the client gives up
+    repeat_until: float = math.inf  # clock time by which it has to be written, as a repeat
+    cold: bool = False  # a write that is late needs Gateway.admits_late
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
     id: str
     retry_after: float = 0
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     id: str
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -10,7 +10,6 @@
 import gc
 import logging
 import math
-import re
 import time
 from collections import deque
 from collections.abc import Iterator
@@ -20,16 +19,25 @@
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
-from calicomast.net.framing import MOST_BODY
+from calicomast.net.events import EventLog, Kind
 from calicomast.net.hosts import Attempt, Hosts
+from calicomast.net.invariants import MONITOR, Invariant
+from calicomast.net.lifecycle import ProcessState, RequestState, change
 from calicomast.net.listing import Listing
+from calicomast.net.requests import BadRequest, Work, bulk, check_form, read_request, time_field
 from calicomast.net.server_table import ServerTable
 from calicomast.policy import Gateway
+from calicomast.rules import (
+    HOLD_UP,
+    AttemptFacts,
+    Verdict,
+    may_take_request,
+    may_write_attempt,
+)
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 STILL = 0.55  # s after it for which an answer is still worth nothing but is one; later the request is lost
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
-MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
 OWN_MEMORY = 40 * 1024 * 1024  # bytes that the program takes itself, with some to spare
 LEAST_HELD = 4 * 1024 * 1024  # bytes of bodies, and as many of half commands, that there is always room for
 LEAST_LIST = 1024 * 1024  # bytes of a list of servers that there is always room for
@@ -57,60 +65,12 @@
         return self.zero + time.monotonic()
 
 
-class Work:
-    """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
-
-    __slots__ = ("id", "slot", "command", "deadline", "guard", "sends", "live", "over")
-
-    def __init__(self, id: str, slot: Slot, command: list[bytes], deadline: float) -> None:
-        self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
-        self.guard: asyncio.TimerHandle | None = None
-        self.sends = 0
-        self.live: dict[int, Attempt] = {}
-        self.over = False
-
-    def payload(self, left: float) -> bytes:
-        """The command as the client sent it, but for `d`: how long this attempt is waited for."""
-        terms = self.command[3]
-        start = (b"," + terms).index(b",d=") + 2
-        end = terms.find(b",", start)
-        told = b"%s%d%s" % (terms[:start], max(1, int(left * 1000)), terms[end:] if end >= 0 else b"")
-        parts = [*self.command[:3], told, *self.command[4:]]
-        return b"*%d\r\n%s" % (len(parts), b"".join([bulk(part) for part in parts]))
-
-
-def bulk(data: bytes) -> bytes:
-    return b"$%d\r\n%s\r\n" % (len(data), data)
-
-
-# The protocol's forms: int() and float() take blanks, signs, `1_0`, `0x1` and more besides.
-WHOLE, DECIMAL = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-CUSTOMER, MOST_CUSTOMERS = re.compile(rb"[0-9a-fA-F]{16}"), 2**33
-NAME = re.compile(rb"[!-~]{1,64}")  # ids and keys
-
-
-def whole(text: bytes) -> int:
-    if not WHOLE.fullmatch(text):
-        raise ValueError("not a whole number")
-    return int(text)
-
-
-def decimal(text: bytes) -> float:
-    if not DECIMAL.fullmatch(text):
-        raise ValueError("not a number")
-    return float(text)
-
-
 def list_bound(memory: int) -> int:
     """Bytes that a list of servers may have where so many bytes of memory may be taken: what is held of an
     entry takes about three times its text."""
     return max(LEAST_LIST, (memory - OWN_MEMORY) // LIST_PART)
 
 
-class BadRequest(Exception):
-    """Why a command cannot be taken."""
-
-
 class GatewayNode:
     def __init__(self, config: Config) -> None:
         self.config, self.settings, self.clock = config, config.settings, Clock()
@@ -119,17 +79,20 @@
         self.works: dict[str, Work] = {}
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
-        self.feeding = self.ready = self.stopping = self.ended = False
+        self.feeding = self.ready = False
+        self.state = ProcessState.SERVING
+        self.log = EventLog()
         longest = self.longest = max(cls.deadline for cls in self.settings.classes.values())
         self.finish_time = min(longest, KILL_MOST) + KILL_MORE - min(KILL_MARGIN, longest / 2)
         room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
         # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
         self.most_held = max(LEAST_HELD, (config.memory - OWN_MEMORY) // 4)
-        self.clients = ClientServer(self, room // 2, self.most_held)
+        self.clients = ClientServer(self, room // 2, self.most_held, self.log)
         self.servers = ServerTable(self.feed, lambda server: self.hosts.stop(server))
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2, self.servers.address)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.most_list = list_bound(config.memory)
+        self.sources = 0  # discoveries that were named one after another
         self.discovery = self.new_discovery(config, config.known.version, held=bool(config.known.entries))
         self.endings: set[asyncio.Task[None]] = set()  # what a new configuration replaced, until it has ended
         self.actions = {
@@ -163,6 +126,7 @@
     def reload(self, config: Config) -> None:
         """Goes over to the addresses of a new configuration. The rest of it holds from the next start on."""
         if self.stopping:
+            self.log.tell(Kind.CONFIGURATION, Verdict.SHUTTING_DOWN.value)
             return
         old, self.config = self.config, config
         if (old.settings, old.listen, old.sockets) != (config.settings, config.listen, config.sockets):
@@ -179,10 +143,12 @@
         log.info("new configuration: discovery %s:%d", *config.discovery)
 
     def new_discovery(self, config: Config, version: int, held: bool) -> Discovery:
+        self.sources += 1
+        source = self.sources
         return Discovery(
             config.discovery,
             version,
-            self.take_list,
+            lambda listing: self.take_list(listing, source),
             self.list_failed,
             held=held,
             grace=self.settings.rules.drain_grace,
@@ -190,6 +156,20 @@
             entries=self.servers.entries,
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether SIGTERM was heard."""
+        return self.state is not ProcessState.SERVING
+
+    @property
+    def refusing(self) -> bool:
+        """Whether what is still read is refused at once."""
+        return self.state in (ProcessState.REFUSING, ProcessState.ENDED)
+
+    def become(self, state: ProcessState) -> None:
+        """Changes the state of the process."""
+        self.state = change(self.state, state)
+
     # Events
 
     def feed(self, event: api.Event) -> None:
@@ -210,7 +190,7 @@
         except Exception:  # one request must not take the others along
             log.exception("the module failed on %s", type(event).__name__)
             if isinstance(event, api.Request | api.Outcome) and event.id in self.works:
-                self.abandon(self.works[event.id])
+                self.abandon(self.works[event.id], "module failed")
             return
         for action in actions:
             try:
@@ -218,22 +198,35 @@
             except Exception:  # nor one action the rest; the guard answers what it was for
                 log.exception("%r could not be carried out", action)
 
-    def abandon(self, work: Work) -> None:
+    def abandon(self, work: Work, reason: str) -> None:
         """Fails a request by itself and lets the module forget it."""
+        if not work.over:
+            self.log.tell(Kind.REQUEST_FAILED, reason, id=work.id, connection=work.slot.client.number)
         self.finish(work, FAILED)
         for attempt in list(work.live.values()):
             self.hosts.give_up(attempt, "cancelled")
         self.feed(api.Gone(work.id))
 
-    def take_list(self, listing: Listing) -> Iterator[None]:
-        """Takes a list of servers over in slices; raises ValueError if it leaves nothing to send to."""
-        self.servers.check(listing)
+    def take_list(self, listing: Listing, source: int = 0) -> Iterator[None]:
+        """Takes a list of servers over in slices; raises ValueError if it may not be put in force. `source`:
+        the number of the discovery that told it; 0 for the configuration."""
+        self.check_list(listing, source)
         long = len(listing.entries) > LONG_LIST
-        yield from self.servers.take(listing)
+        for _ in self.servers.take(listing):
+            yield
+            self.check_list(listing, source)  # the configuration may have named another meanwhile
         self.ready = self.ready or self.servers.any_to_send_to()
         if long:
             gc.freeze()  # most of it stays for good: no collection need look at it again
 
+    def check_list(self, listing: Listing, source: int) -> None:
+        """Raises ValueError if a list may not be put in force, or not be gone on with."""
+        try:
+            self.servers.check(listing, source_current=source in (0, self.sources))
+        except ValueError as err:
+            self.log.tell(Kind.LIST_NOT_APPLIED, str(err), version=listing.version)
+            raise
+
     def list_failed(self) -> None:
         if self.settings.discovery == "ask":
             self.feed(api.HostList("failed", self.discovery.version, ()))
@@ -247,26 +240,28 @@
         try:
             self.take(slot, command)
         except BadRequest as err:
+            self.log.note(Kind.REQUEST_NOT_TAKEN, str(err))
             slot.reply(b"-ERR %s\r\n" % str(err).encode())
         except Exception:
             log.exception("a command could not be taken")
-            slot.reply(FAILED)
-
-    def take(self, slot: Slot, command: object) -> None:
-        if not isinstance(command, list) or {type(part) for part in command} - {bytes}:
-            raise BadRequest("not an array of bulk strings")
-        verb = command[0] if command else b""
-        write = verb == b"API.WRITE"
-        if not write and verb != b"API.READ":
-            raise BadRequest("unknown command")
-        if len(command) != 4 + write:
-            raise BadRequest("wrong number of arguments")
-        if write and len(command[4]) > MOST_BODY:
-            raise BadRequest("body too long")
-        request = self.read_request(command, write)
+            if slot.answer is None:
+                slot.reply(FAILED)
+
+    def take(self, slot: Slot, told: object) -> None:
+        """Takes a request on, or refuses it at once; raises BadRequest."""
+        command = check_form(told)
+        request = read_request(command, self.settings, WAY_BACK + self.clients.waited())
         if request.id in self.works:
             raise BadRequest("this id is in work")
-        if self.ended or len(self.works) >= self.config.max_open or self.held > self.most_held:
+        verdict = may_take_request(
+            ending=self.refusing,
+            in_work=len(self.works),
+            most_in_work=self.config.max_open,
+            held=self.held,
+            most_held=self.most_held,
+        )
+        if verdict is not Verdict.ALLOWED:
+            self.log.note(Kind.REQUEST_REFUSED, verdict.value)
             slot.reply(BUSY)
             return
         now = time.monotonic()
@@ -277,48 +272,6 @@
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
         self.feed(request)
 
-    def read_request(self, command: list[bytes], write: bool) -> api.Request:
-        _, customer, name, terms = command[:4]
-        pairs = [term.split(b"=", 1) for term in terms.split(b",")]
-        try:
-            fields = dict(pairs)
-            cls = self.settings.classes.get(fields[b"c"].decode())
-            plan = fields[b"t"].decode()
-            left, units = whole(fields[b"d"]) / 1000, decimal(fields[b"units"])
-            spread, first = whole(fields[b"spread"]), whole(fields[b"first"])
-        except (KeyError, ValueError) as err:
-            raise BadRequest("missing or odd field") from err
-        if len(fields) != len(pairs):
-            raise BadRequest("a field twice")
-        if not (CUSTOMER.fullmatch(customer) and int(customer, 16) < MOST_CUSTOMERS and NAME.fullmatch(name)):
-            raise BadRequest("odd customer or id")
-        if cls is None or plan not in self.settings.plans:
-            raise BadRequest("unknown class or plan")
-        keyless = cls.effect == "keyed" and not NAME.fullmatch(fields.get(b"k", b""))
-        if write == (cls.effect == "safe") or keyless:
-            raise BadRequest("class does not go with this command")
-        gateways = self.settings.gateways
-        if not (
-            0 < units <= self.settings.most_units
-            and 1 <= spread <= gateways
-            and first < gateways
-            and left <= MOST_LEFT
-        ):
-            raise BadRequest("field out of range")
-        left -= WAY_BACK + self.clients.waited()
-        return api.Request(
-            name.decode(),
-            left,
-            customer.decode().lower(),
-            plan,
-            cls.name,
-            units,
-            first,
-            spread,
-            fields.get(b"r") == b"1",
-            write,
-        )
-
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
         work = slot.token
@@ -329,14 +282,13 @@
     def overdue(self, work: Work) -> None:
         """Guards the client's deadline against a module that says nothing."""
         if not work.over:
-            log.warning("request %s: no decision before its deadline", work.id)
-            self.abandon(work)
+            self.abandon(work, "no decision before its deadline")
 
     def finish(self, work: Work, answer: bytes) -> None:
         """The one place where a request gets its final answer."""
         if work.over:
             return
-        work.over = True
+        work.become(RequestState.ANSWERED)
         if work.guard is not None:
             work.guard.cancel()
         if answer:
@@ -348,52 +300,108 @@
 
     def forget(self, work: Work) -> None:
         if work.over and not work.live and self.works.pop(work.id, None):
+            work.become(RequestState.FORGOTTEN)
             self.held -= len(work.command[-1])
 
     # Actions
 
     def refuse(self, action: api.Refuse) -> None:
         if action.id in self.works:
+            self.log.note(Kind.REQUEST_REFUSED, action.reason)
             wait = math.ceil(action.retry_after * 1000)
             self.finish(self.works[action.id], b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
 
     def fail(self, action: api.Fail) -> None:
         if action.id in self.works:
+            self.log.note(Kind.REQUEST_FAILED, action.reason)
             self.finish(self.works[action.id], FAILED)
 
     def send(self, action: api.Send) -> None:
         work = self.works.get(action.id)
         if work is None or work.over:
             return
-        number, left = work.sends, work.deadline - time.monotonic()
+        number = work.sends
         work.sends += 1
-        if work.slot.client.has_left():
-            self.finish(work, b"")
-        if (
-            work.over
-            or left <= 0
-            or number >= self.settings.limits.max_attempts
-            or (work.live and not self.settings.limits.second_copies)
-        ):
+        attempt = Attempt(action.host, self.begin, self.attempt_done, (work, number))
+        attempt.repeat_until, attempt.cold = action.repeat_until, action.cold
+        verdict = self.judge(attempt, late=False)
+        if verdict is not Verdict.ALLOWED:
+            self.not_written(attempt, verdict)
+            if verdict is Verdict.CLIENT_GONE:
+                self.finish(work, b"")
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, work.over))
             return
-        wait = min(left, action.timeout) if action.timeout > 0 else left
-        attempt = Attempt(action.host, work.payload(wait), self.attempt_done, (work, number), self.wanted)
         work.live[number] = attempt
-        self.hosts.send(attempt, wait)
+        attempt.judged = True  # for as long as this step lasts
+        left = work.deadline - time.monotonic()
+        self.hosts.send(attempt, min(left, action.timeout) if action.timeout > 0 else left)
+        attempt.judged = False
 
-    def wanted(self, attempt: Attempt) -> bool:
-        """Whether the client is still there for an attempt that could not begin at once."""
-        work = attempt.tag[0]
-        if work.slot.client.has_left():
-            self.gone(work.slot)
-        return not work.over
+    def judge(self, attempt: Attempt, late: bool) -> Verdict:
+        """Whether an attempt may be written now. `late`: its connection came up only now."""
+        work, number = attempt.tag
+        now = self.clock()
+        return may_write_attempt(
+            AttemptFacts(
+                finished=work.over,
+                client_gone=not work.over and work.slot.client.has_left(),
+                left=work.deadline - time.monotonic(),
+                repeat_left=attempt.repeat_until - now,
+                begun=work.begun,
+                most_attempts=self.settings.limits.max_attempts,
+                others_out=len(work.live) - (number in work.live),
+                second_copies=self.settings.limits.second_copies,
+                server_listed=self.servers.address(attempt.host) is not None,
+                start_budget=not (late and attempt.cold)
+                or self.module.admits_late(now, work.id, number, attempt.host),
+            )
+        )
+
+    def begin(self, attempt: Attempt) -> bytes | None:
+        """What goes to the server, worked out as its connection is there to be written to; None if it may not
+        be sent any more."""
+        work, _ = attempt.tag
+        if not attempt.judged:
+            verdict = self.judge(attempt, late=True)
+            if verdict is not Verdict.ALLOWED:
+                self.not_written(attempt, verdict)
+                if verdict is Verdict.CLIENT_GONE:
+                    self.gone(work.slot)
+                return None
+        work.begun += 1
+        payload = work.payload(work.deadline - time.monotonic())
+        self.check_written(attempt, payload)
+        return payload
+
+    def not_written(self, attempt: Attempt, verdict: Verdict) -> None:
+        work, number = attempt.tag
+        self.log.tell(
+            Kind.ATTEMPT_NOT_WRITTEN, verdict.value, id=work.id, attempt=number, server=attempt.host
+        )
+
+    def check_written(self, attempt: Attempt, payload: bytes) -> None:
+        """The rules once more, from what goes on the wire and from clocks read anew."""
+        work, number = attempt.tag
+        detail = f"request {work.id} attempt {number} server {attempt.host}"
+        terms = payload.split(b"\r\n", 9)[8]
+        start, end = time_field(terms)
+        told = int(terms[start:end]) / 1000
+        left = work.deadline + WAY_BACK - time.monotonic()
+        MONITOR.check(told <= max(left, 0.0) + HOLD_UP, Invariant.DEADLINE_TOLD, f"{detail} {told} {left}")
+        MONITOR.check(not work.over, Invariant.ATTEMPT_AFTER_ANSWER, detail)
+        MONITOR.check(work.begun <= self.settings.limits.max_attempts, Invariant.ATTEMPT_LIMIT, detail)
+        second = self.settings.limits.second_copies or len(work.live) <= 1
+        MONITOR.check(second, Invariant.SECOND_ATTEMPT, detail)
+        MONITOR.check(self.clock() <= attempt.repeat_until + HOLD_UP, Invariant.REPEAT_WINDOW, detail)
+        MONITOR.check(attempt.host in self.servers.entries, Invariant.SERVER_GONE, detail)
 
     def attempt_done(self, attempt: Attempt) -> None:
         work, number = attempt.tag
         result, over = attempt.result, work.over
         del work.live[number]
-        if over and result == "connect_failed":
+        if result != "ok":
+            self.log.note(Kind.ATTEMPT_ENDED, result)
+        if over and (result == "connect_failed" or result in api.NEVER_BEGAN):
             result = "moot"  # called off before it was sent, which says nothing of the host
         elif result == "ok" and not over:
             self.finish(work, bulk(attempt.value))
@@ -449,20 +457,27 @@
         """After SIGTERM: goes on while connections still come, then finishes what it has taken. Clients send
         on each connection that is open, so each is closed where nothing on it is in work or unread."""
         began = time.monotonic()
-        self.stopping = True
+        self.become(ProcessState.LINGERING)
         await asyncio.sleep(LINGER)
         await self.clients.no_more()
+        self.become(ProcessState.FINISHING)
         self.clients.finish()
         await self.idle(began + self.finish_time)
-        self.ended = True  # what is taken from now on is refused at once
+        self.become(ProcessState.REFUSING)
         for work in list(self.works.values()):
-            self.abandon(work)
+            self.abandon(work, Verdict.SHUTTING_DOWN.value)
         await self.idle(time.monotonic() + LAST_WORDS)
+        self.become(ProcessState.ENDED)
         self.clients.close()
         self.hosts.close()
         if self.counter:
             self.counter.close()
         await asyncio.gather(self.discovery.close(), *self.endings)
+        self.print_counts()
+
+    def print_counts(self) -> None:
+        """Logs what ended and why since the start, and the violations."""
+        log.info("counts %s", self.log.summary())
 
     async def idle(self, until: float) -> None:
         """Waits for nothing to be in work, and all answers to be written and their connections closed."""
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -20,6 +20,7 @@
 import hiredis
 
 from calicomast.net.framing import MOST_BODY, NO_MESSAGE, Framing, FramingError
+from calicomast.net.lifecycle import AttemptState, ServerState, change
 from calicomast.net.listing import Address
 from calicomast.settings import read_report
 
@@ -33,6 +34,7 @@
 MOST_LOAD = 10_000.0  # of any figure in a load report; one beyond would spoil the means for long
 MOST_USED = 1_000_000  # percent of a customer's rate; more than that is no figure on use
 PROBE = object()  # the tag of an attempt that is a probe
+PROBE_COMMAND = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"
 
 Report = dict[str, float]
 REPORT = re.compile(r"(\w+=([0-9]{1,9}(\.[0-9]{1,9})?)?(,|$))+")  # the protocol's form; float() takes more
@@ -41,12 +43,18 @@
 
 
 class Attempt:
-    """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known. `wanted`
-    is asked before it begins on a connection that had to come up first."""
+    """One command for one host. `begin` gives what is written, in the same step as the write, or None if it
+    may not begin any more. `done` gets the attempt once, when `result` (of interface.RESULTS) is known.
+
+    Attributes:
+        repeat_until: clock time by which it has to be written, as a repeat.
+        cold: whether the server has just started, so that a late write needs the module's leave.
+        judged: whether it was found in this same step that it may begin.
+    """
 
     __slots__ = (
         "host",
-        "payload",
+        "begin",
         "done",
         "tag",
         "started",
@@ -56,19 +64,22 @@
         "report",
         "conn",
         "timer",
-        "wanted",
+        "state",
+        "repeat_until",
+        "cold",
+        "judged",
     )
 
     def __init__(
         self,
         host: str,
-        payload: bytes,
+        begin: Callable[[Attempt], bytes | None],
         done: Callable[[Attempt], None],
         tag: Any = None,
-        wanted: Callable[[Attempt], bool] = lambda attempt: True,
     ) -> None:
-        self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
-        self.wanted = wanted
+        self.host, self.begin, self.done, self.tag, self.started = host, begin, done, tag, monotonic()
+        self.state = AttemptState.WAITING
+        self.repeat_until, self.cold, self.judged = math.inf, False, False
         self.result = ""
         self.value = b""
         self.used = 0
@@ -83,6 +94,7 @@
         if self.result:
             return
         self.result = result
+        self.state = change(self.state, AttemptState.ENDED, self.host)
         if self.timer is not None:
             self.timer.cancel()
         self.done(self)
@@ -147,6 +159,7 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.framing = Framing()
+        self.state = ServerState.CONNECTING
         self.attempt: Attempt | None = None
         self.written, self.idle_since = True, 0.0
         self.rested, self.heard = 0.0, False  # s before its attempt, 0 on a new one; anything of an answer
@@ -189,13 +202,20 @@
                 pass
         return False
 
-    def start(self, attempt: Attempt) -> None:
+    def start(self, attempt: Attempt) -> bool:
+        """Writes an attempt, if it may still begin; False if not, and the connection is as free as before."""
         assert self.transport is not None
+        payload = attempt.begin(attempt)
+        if payload is None:
+            return False
+        self.state = change(self.state, ServerState.BUSY, attempt.host)
+        attempt.state = change(attempt.state, AttemptState.RUNNING, attempt.host)
         self.attempt, attempt.conn = attempt, self
-        self.rested, self.heard = attempt.started - self.idle_since if self.idle_since else 0.0, False
-        self.transport.write(attempt.payload)
+        self.rested, self.heard = monotonic() - self.idle_since if self.idle_since else 0.0, False
+        self.transport.write(payload)
         if self.transport.is_closing():  # the write failed at once, so the socket took nothing
             self.written = False
+        return True
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
@@ -230,6 +250,8 @@
     def close(self) -> None:
         """Ends the connection now: the socket is shut at once, before another attempt can be sent."""
         attempt, self.attempt = self.attempt, None
+        if self.state is not ServerState.CLOSED:
+            self.state = change(self.state, ServerState.CLOSED)
         self.pool.drop(self)
         if self.transport is not None and not self.transport.is_closing():
             with self.borrowed() as sock, contextlib.suppress(OSError):
@@ -277,7 +299,9 @@
         for conn in [conn for conn in reversed(self.idle) if first < conn.idle_since <= latest]:
             if conn.quiet():
                 self.idle.remove(conn)
-                conn.start(attempt)
+                if not conn.start(attempt):
+                    self.idle.append(conn)
+                    attempt.end("withheld")
                 return
             conn.close()
         if not self.hosts.room():
@@ -288,6 +312,7 @@
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         conn: Connection | None = None
+        result = "connect_failed"
         try:
             async with asyncio.timeout(self.hosts.connect_timeout):
                 _, conn = await loop.create_connection(lambda: Connection(self), *self.address)
@@ -299,17 +324,17 @@
             self.hosts.conns.add(conn)
             self.open += 1
             if waiting and not attempt.result and self.up and not conn.transport.is_closing():
-                if attempt.wanted(attempt):
-                    conn.start(attempt)
-                else:
+                if not conn.start(attempt):
                     self.rest(conn)
+                    attempt.end("withheld")
                 return
             conn.close()
         if waiting:
-            attempt.end("connect_failed")
+            attempt.end(result)
 
     def rest(self, conn: Connection) -> None:
         if self.up:
+            conn.state = change(conn.state, ServerState.RESTING, self.address)
             conn.idle_since = monotonic()
             self.idle.append(conn)
         else:
@@ -377,7 +402,7 @@
         pool.start(attempt)
 
     def probe(self, host: str, done: Callable[[Attempt], None]) -> None:
-        self.send(Attempt(host, b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n", done, PROBE), self.connect_timeout)
+        self.send(Attempt(host, lambda attempt: PROBE_COMMAND, done, PROBE), self.connect_timeout)
 
     def give_up(self, attempt: Attempt, result: str) -> None:
         """Stops waiting. The connection goes too: a late answer must not meet the next request on it."""
--- a/calicomast/net/listing.py
+++ b/calicomast/net/listing.py
@@ -43,11 +43,22 @@
 
 @dataclass(slots=True)
 class Listing:
-    """A list or changes to one. Whoever takes it over empties `entries` on the way."""
+    """A list or changes to one."""
 
     mode: str  # one of interface.MODES
     version: int
     entries: list[Entry]
+    taken: bool = False  # whether the entries were handed over
+
+    @property
+    def empty(self) -> bool:
+        """Whether it came without entries."""
+        return not self.entries and not self.taken
+
+    def hand_over(self) -> list[Entry]:
+        """The entries, which are not kept here any longer."""
+        entries, self.entries, self.taken = self.entries, [], True
+        return entries
 
 
 class Repeated:
--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -12,6 +12,7 @@
 
 from calicomast import interface as api
 from calicomast.net.listing import Address, Entry, Listing, read_address
+from calicomast.rules import Verdict, may_apply_list
 
 SLICE = 100  # servers that are passed on at once; about a millisecond's work
 COMPARED = 1000  # servers that are compared at once; about a millisecond's work
@@ -42,11 +43,17 @@
         """Whether there is a server that requests may be sent to."""
         return any(entry.address and entry.host.state == "up" for entry in self.entries.values())
 
-    def check(self, listing: Listing) -> None:
-        """Raises ValueError for a list that is not to be taken over: a whole one without any server, while
-        some are held, is a fault of who told it, and would leave nothing to send to."""
-        if listing.mode == "full" and not listing.entries and self.entries:
-            raise ValueError("a whole list without servers")
+    def check(self, listing: Listing, source_current: bool = True) -> None:
+        """Raises ValueError for a list that may not be put in force. `source_current`: whether who told it is
+        still the one to listen to."""
+        verdict = may_apply_list(
+            source_current=source_current,
+            whole=listing.mode == "full",
+            empty=listing.empty,
+            some_held=bool(self.entries),
+        )
+        if verdict is not Verdict.ALLOWED:
+            raise ValueError(verdict.value)
 
     def take(self, listing: Listing) -> Iterator[None]:
         """Takes a list over, slice by slice; gives way between slices."""
@@ -64,7 +71,7 @@
 
     def _changed(self, listing: Listing) -> Generator[None, None, list[Entry]]:
         """Entries of the list that say something new, and those that a whole list leaves out as gone."""
-        entries, listing.entries = listing.entries, []
+        entries = listing.hand_over()
         changed, unknown = [], 0
         for number, entry in enumerate(entries):
             if number and number % COMPARED == 0:
--- a/calicomast/pending.py
+++ b/calicomast/pending.py
@@ -28,9 +28,15 @@
     beyond: bool = False
     slot: int = 0  # open attempt held: own part -1, or the epoch of the shared count
     sends: int = 0
+    unsent: int = 0  # of them those that never began, for no reason of a server's
     streaming: bool = False
     live: dict[int, tuple[str, float]] = field(default_factory=dict)
     ran: list[tuple[str, float]] = field(default_factory=list)  # ended, but may have run
     late: set[int] = field(default_factory=set)  # attempts whose silence was noted
     avoid: set[str] = field(default_factory=set)
     done: bool = False
+
+    @property
+    def begun(self) -> int:
+        """Attempts that were written, or may have been."""
+        return self.sends - self.unsent
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -26,6 +26,7 @@
     PlanUse,
     stable_hash,
 )
+from calicomast.rules import RefusalReason, repeat_until
 from calicomast.servers import LIMIT_MOST, PRESS_SPAN, PRESSED, ROOM_CLEAR, SERVICE_LEAST, TICK, Fleet, Server
 
 LEAST_UNITS = 1e-9  # of a request; below it the mean says nothing
@@ -115,10 +116,13 @@
         pending = PendingRequest(req, cls, plan, acct, now, now + req.left, worth, value, keys)
         self.requests[req.id] = pending
         pending.charge = charge(self.work(pending), self.rng.random())
-        if req.left < 2 * TICK or self.shed(now, pending):  # no check would come round in time, or no room
-            self.refuse(now, pending, 0.0)
+        if req.left < 2 * TICK:  # no check would come round in time
+            self.refuse(now, pending, RefusalReason.DEADLINE_NEAR)
+        elif self.shed(now, pending):
+            self.refuse(now, pending, RefusalReason.LOAD_SHED)
         elif acct.ceiling_room(now) < req.units:
-            self.refuse(now, pending, (req.units - acct.cap) * acct.spread / plan.ceiling_rate)
+            wait = (req.units - acct.cap) * acct.spread / plan.ceiling_rate
+            self.refuse(now, pending, RefusalReason.CEILING, wait)
         elif plan.rate:
             self.want_units(now, pending)
         else:
@@ -192,7 +196,8 @@
         if self.take_units(now, pending):
             return
         if now < acct.full_until or self.spare(now, pending) < 0:
-            self.beyond(now, pending, (pending.req.units - room) / acct.plan.rate)
+            wait = (pending.req.units - room) / acct.plan.rate
+            self.beyond(now, pending, RefusalReason.QUOTA, wait)
         elif ask and self.counter.usable(now):
             acct.waiting.append(pending.req.id)
             self.check_at(now + 2 * self.counter.timeout + TICK, pending)
@@ -210,7 +215,7 @@
             pending.acct.used += units
             self.want_slot(now, pending)
         else:
-            self.beyond(now, pending, 0.0)
+            self.beyond(now, pending, RefusalReason.QUOTA_UNKNOWN)
 
     def risked(self, now: float, loss: float) -> bool:
         """Whether a try may pass unasked, which loses `loss` in the mean. What all such tries lose is bounded
@@ -337,7 +342,7 @@
             self.check_at(pending.deadline, pending)
             return
         elif plan.open_limit and (plan.open_limit >= acct.spread or over * cost >= 1 - over):
-            self.beyond(now, pending, 0.0)
+            self.beyond(now, pending, RefusalReason.OPEN_LIMIT)
             return
         self.enqueue(now, pending)
 
@@ -352,30 +357,30 @@
         if ok and (pending.done or event.total > acct.plan.open_limit % acct.spread):
             self.count_open(acct, call.window, -1)
         if ok and not pending.done and event.total > acct.plan.open_limit % acct.spread:
-            self.beyond(now, pending, 0.0)
+            self.beyond(now, pending, RefusalReason.OPEN_LIMIT)
         elif not pending.done:
             pending.slot = call.window if ok else 0
             self.enqueue(now, pending) if ok else self.want_slot(now, pending, False)
 
-    def beyond(self, now: float, pending: PendingRequest, wait: float) -> None:
+    def beyond(self, now: float, pending: PendingRequest, reason: RefusalReason, wait: float = 0.0) -> None:
         clear = self.fleet.mean_held() < ROOM_CLEAR * LIMIT_MOST and not self.queue
         if pending.plan.over_worth > pending.plan.over_cost and clear:
             pending.beyond = True
             self.enqueue(now, pending)
         else:
-            self.refuse(now, pending, wait)
+            self.refuse(now, pending, reason, wait)
 
     def enqueue(self, now: float, pending: PendingRequest) -> None:
         acct, units = pending.acct, pending.req.units
         if acct.ceiling_room(now) < units:
-            self.refuse(now, pending, 0.0)
+            self.refuse(now, pending, RefusalReason.CEILING)
             return
         acct.cap -= units  # spent before sending
         self.line_up(pending)
         most = max(QUEUE_LEAST, self.fleet.own_rate(now) * QUEUE_HOLD * pending.cls.aim)
         self.queue = [j for j in self.queue if not j.done] if len(self.queue) > most else self.queue
         if len(self.queue) > most:
-            self.refuse(now, self.queue.pop(0), 0.0)
+            self.refuse(now, self.queue.pop(0), RefusalReason.QUEUE_FULL)
         self.drain_queue(now)
         if pending.stage == "queue" and not pending.done:
             self.check_at(pending.arrived + self.hold(pending), pending)
@@ -391,13 +396,13 @@
         share = 1.0 if pending.sends else QUEUE_HOLD
         return min(useful, (pending.deadline - pending.arrived) / 2, pending.cls.aim * share)
 
-    def refuse(self, now: float, pending: PendingRequest, wait: float) -> None:
+    def refuse(self, now: float, pending: PendingRequest, reason: RefusalReason, wait: float = 0.0) -> None:
         ran = pending.cls.effect != "safe" and (pending.cls.effect, pending.cls.scope) != ("keyed", "all")
         if not (ran and (pending.ran or pending.live)):
             most = self.set.limits.max_retry_after if self.set.limits.retry_after else 0.0
-            self.out.append(api.Refuse(pending.req.id, min(max(wait, 0.0), most)))
+            self.out.append(api.Refuse(pending.req.id, min(max(wait, 0.0), most), reason.value))
         else:
-            self.out.append(api.Fail(pending.req.id))
+            self.out.append(api.Fail(pending.req.id, reason.value))
         self.close(now, pending)
 
     def close(self, now: float, pending: PendingRequest) -> None:
@@ -412,7 +417,7 @@
         unproven = pending.ran + list(pending.live.values())
         if s.host.id in pending.avoid or not unproven or pending.cls.effect == "safe":
             return s.host.id not in pending.avoid
-        if pending.cls.effect == "unsafe" or now >= min(t for _, t in unproven) + pending.cls.memory - TICK:
+        if pending.cls.effect == "unsafe" or now >= self.repeat_until(pending):
             return False
         known, scope = [self.fleet.host(h) for h, _ in unproven], pending.cls.scope
         if None in known:
@@ -422,6 +427,20 @@
         place = (lambda h: h.zone) if scope == "zone" else (lambda h: h.cell)
         return all(place(h) == place(s.host) for h in known)
 
+    def repeat_until(self, pending: PendingRequest) -> float:
+        """Until when a further attempt may be written; no bound where none before may have run."""
+        unproven = pending.ran + list(pending.live.values())
+        if pending.cls.effect == "safe" or not unproven:
+            return math.inf
+        return repeat_until(min(sent for _, sent in unproven), pending.cls.memory)
+
+    def admits_late(self, now: float, id: str, number: int, server: str) -> bool:
+        """Whether an attempt at a cold server, whose connection came up late, may still be written."""
+        pending, s = self.requests.get(id), self.fleet.servers.get(server)
+        if pending is None or s is None:
+            return False
+        return self.fleet.admits_late(s, (id, number), now, pending.charge)
+
     def choose(self, now: float, pending: PendingRequest) -> Server | None:
         if not pending.avoid:
             return self.fleet.pick(now, pending.keys, None, pending.charge)
@@ -439,12 +458,13 @@
         return self.fleet.cell_mates(host.cell) if host is not None else None
 
     def send(self, now: float, pending: PendingRequest) -> bool:
-        if pending.sends >= self.set.limits.max_attempts or pending.streaming:
+        if pending.begun >= self.set.limits.max_attempts or pending.streaming:
             return False
         s = self.choose(now, pending) if self.set.limits.second_copies or not pending.live else None
         if s is None:
             return False
-        self.out.append(api.Send(pending.req.id, s.host.id))
+        cold = s.admission is not None and s.warmth(now, self.set.rules) < 1.0
+        self.out.append(api.Send(pending.req.id, s.host.id, 0, self.repeat_until(pending), cold))
         pending.live[pending.sends] = (s.host.id, now)
         self.fleet.sent(s, (pending.req.id, pending.sends), now, pending.charge)
         pending.sends += 1
@@ -471,6 +491,7 @@
             self.queue.remove(pending)
         if self.queue and self.trial_at <= now:  # no other event may come when a host's rest is over
             trials = [at for s in self.fleet.up for _, at in s.rests.values() if at > now]
+            trials += [self.fleet.hindered_until] * (self.fleet.hindered_until > now)
             self.trial_at = min(trials, default=0.0)
 
     def outcome(self, now: float, event: api.Outcome) -> None:
@@ -487,25 +508,33 @@
             return
         if event.result in ("error", "timeout", "reset", "cancelled") and sent is not None:
             pending.ran.append(sent)
+        if event.result in api.NEVER_BEGAN:
+            pending.unsent += 1
+            pending.avoid.discard(event.host)
+        if event.result == "unsent":
+            self.fleet.hindered(now)
         if pending.live:
             return
-        cost = {"connect_failed": 0.0, "full": RETRY_FULL}.get(event.result, 1.0)
+        free = event.result == "connect_failed" or event.result in api.NEVER_BEGAN
+        cost = 0.0 if free else RETRY_FULL if event.result == "full" else 1.0
         late = now + max(TICK, self.fleet.mean[pending.cls.name]) > pending.deadline or event.result == "moot"
-        if late or self.budget < cost:
-            self.refuse(now, pending, 0.0)
+        if late:
+            self.refuse(now, pending, RefusalReason.DEADLINE_NEAR)
+        elif self.budget < cost:
+            self.refuse(now, pending, RefusalReason.RETRIES_SPENT)
         elif self.send(now, pending):
             self.budget -= cost
-        elif event.result in ("connect_failed", "full", "reset") and self.may_wait(now, pending):
+        elif (free or event.result in ("full", "reset")) and self.may_wait(now, pending):
             # All that it may go to are busy, which is no reason to give up what was turned away or lost. What
             # was silent or erred has had its time at a host, and in overload would take that of others.
             self.budget -= cost
             self.line_up(pending)
             self.check_at(pending.arrived + self.hold(pending), pending)
         else:
-            self.refuse(now, pending, 0.0)
+            self.refuse(now, pending, RefusalReason.NO_SERVER)
 
     def may_wait(self, now: float, pending: PendingRequest) -> bool:
-        more = not pending.streaming and pending.sends < self.set.limits.max_attempts
+        more = not pending.streaming and pending.begun < self.set.limits.max_attempts
         more = more and now < pending.arrived + self.hold(pending)
         mates = self.cell_mates(pending) if more else None
         servers = self.fleet.up if mates is None else mates
@@ -529,7 +558,7 @@
         ending = now >= pending.deadline - 2 * TICK - 1e-6
         most = {"units": 2 * self.counter.timeout, "queue": self.hold(pending)}.get(pending.stage, math.inf)
         if pending.stage != "sent" and (ending or now - pending.arrived >= most - 1e-6):
-            self.refuse(now, pending, 0.0)
+            self.refuse(now, pending, RefusalReason.WAITED)
         elif pending.stage == "sent" and not ending and not pending.streaming:
             self.late(now, pending)
 
@@ -550,7 +579,7 @@
             self.budget -= self.send(now, pending)
         elif (
             self.set.limits.cancel
-            and pending.sends < self.set.limits.max_attempts
+            and pending.begun < self.set.limits.max_attempts
             and self.choose(now, pending)
         ):
             self.out.append(api.Cancel(pending.req.id, late[0]))  # its outcome starts the next attempt
--- a/calicomast/servers.py
+++ b/calicomast/servers.py
@@ -29,6 +29,7 @@
 CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
 COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
 TRIAL_LEAST, TRIAL_MOST = 0.02, 0.5  # s; pause of a host after one failure there, and after many in a row
+HINDERED_MOST = 0.1  # s; longest pause after this machine could not send
 SERVICE_LEAST = 1e-3  # s; least time of a request that a server's capacity is judged by
 SIZES = ("nominal", "rough")  # meanings of a weight that tell a server's size
 LEAST_CHARGE = 1e-9  # of a request: whether anything may be sent at all
@@ -81,6 +82,8 @@
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
+        self.hindered_until = 0.0  # this machine cannot send until then
+        self.hindrances = 0  # so often in a row
         self.top = 1.0  # largest weight
         self.service = sum(self.mean.values()) / len(self.mean)  # s that an answer takes, over all classes
 
@@ -209,6 +212,8 @@
         most = max(2.0, OUT_SLACK * LIMIT_MOST * self.members.up / self.set.gateways)
         if not s.up or len(s.out) >= int(self.limit + s.rounding) or self.out >= most or s.resting(now, keys):
             return False
+        if now < self.hindered_until:
+            return False
         rules = self.set.rules
         if s.admission is None or s.warmth(now, rules) == 1.0:
             return True
@@ -283,10 +288,25 @@
     def sent(self, s: Server, key: tuple[str, int], now: float, charge: float) -> None:
         s.out[key] = now
         if s.admission is not None and s.warmth(now, self.set.rules) < 1.0:
-            s.admission.note(now, charge)
+            s.admission.note(now, charge, key)
         self.out += 1
         self.rate, self.rate_at = self.own_rate(now) + 1.0 / RATE_SPAN, now
 
+    def admits_late(self, s: Server, key: tuple[str, int], now: float, charge: float) -> bool:
+        """Whether an attempt whose connection came up late may still be written to a server that was cold."""
+        rules = self.set.rules
+        if s.admission is None or s.warmth(now, rules) == 1.0:
+            return True
+        warmth = s.warmth(now - rules.fall_time, rules)
+        return s.admission.move(now, charge, key, warmth, self.capacity(s))
+
+    def hindered(self, now: float) -> None:
+        """This machine could not send: nothing goes for a moment, the longer the more often that was so in
+        a row. The servers are not to blame."""
+        if now >= self.hindered_until:
+            self.hindrances += 1
+            self.hindered_until = now + min(HINDERED_MOST, TICK * 2.0 ** min(self.hindrances - 1, 10))
+
     def answered(
         self, now: float, event: api.Outcome, cls: api.ServiceClass | None, keys: tuple[str, ...]
     ) -> None:
@@ -295,6 +315,8 @@
             return
         out, high = len(s.out), event.result == "timeout"
         self.out -= s.out.pop((event.id, event.attempt), None) is not None
+        if event.result != "moot" and event.result not in api.NEVER_BEGAN:
+            self.hindrances = 0
         if event.report:
             held = event.report.get("inflight")
             if held is None:
