Accept connections in a listener of our own, which outlives failing calls of accept

Seen: while accept fails (ENFILE, EMFILE, ENOBUFS, ECONNABORTED, EPROTO, forced by the shim) the event loop calls it again at once: 1.3 to 1.9 million calls in half a second, so all of the CPU. After ENFILE and EMFILE it accepts the connections that wait only to close them: where accept had recovered just then, five of five clients whose requests lay in the queue were reset, which loses them. Ruled out: the listener is not lost for good. Connections that wait go on waiting.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import itertools
 import select
@@ -20,6 +21,7 @@
 from calicomast.net.framing import NO_MESSAGE, Framing, FramingError
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.lifecycle import ClientState, change
+from calicomast.net.listener import Listener
 from calicomast.rules import Verdict, may_close_connection
 
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
@@ -30,7 +32,6 @@
 HALF = 0.5  # s that half a command has at least, though the idle time of its connection is over; IDLE at most
 LOOK = 0.1  # s between looks at connections that are not read: a request of a client that left ends by 0.3 s
 MOST_DROPPED = 256 * 1024  # bytes read and dropped behind lost framing, so that the close is no reset
-BACKLOG = 1024  # connections that may wait at the listener
 MOST_LOOKED_AT = 64  # idle connections asked for unread bytes when one has to go
 MOST_UNTAKEN = 1024 * 1024  # bytes of answers that wait past STUCK for a client to take them
 MOST_AWAY = 16  # connections turned away that wait for their client's end
@@ -302,18 +303,25 @@
         self.leaving: set[Client] = set()  # that were let go and are lost in the next turn of the loop
         self.away: dict[Client, None] = {}  # that were turned away, oldest first
         self.unread: set[Client] = set()  # those that are not read for now
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.look_at = self.looked = self.lag = 0.0  # when the next look is due; when the last was, how late
         self.timer: asyncio.TimerHandle | None = None
         self.looks: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
+        listener = Listener(lambda: Client(self), self.accept_failed)
+        port = listener.open(host, port)
+        self.listener = listener
         self.sweep()
         self.look_at = monotonic()
         self.look()
-        return self.listener.sockets[0].getsockname()[1]
+        return port
+
+    def accept_failed(self, err: OSError) -> None:
+        """Where descriptors are short, an idle connection makes room for one that waits."""
+        self.events.tell(Kind.ACCEPT_FAILED, errno.errorcode.get(err.errno or 0, str(err)))
+        if err.errno in (errno.EMFILE, errno.ENFILE):
+            self.make_room()
 
     def joined(self, client: Client) -> None:
         self.clients.add(client)
@@ -400,15 +408,8 @@
 
     async def no_more(self) -> None:
         """No new connections, but for those that the machine has accepted by now: what they ask was taken."""
-        if self.listener is None:
-            return
-        poll = select.poll()
-        poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
-        for _ in range(2 * BACKLOG):  # one is accepted in a turn of the loop; without descriptors none is
-            if not poll.poll(0):
-                break
-            await asyncio.sleep(0)
-        self.listener.close()
+        if self.listener is not None:
+            await self.listener.close()
 
     def finish(self) -> None:
         """Each connection that there is closes once all it asked has been answered."""
