End half a command by its own time, whatever else is on its connection

Cause: half a command was looked at only on a connection without a request in work, and the answer to one began that time anew: a client that stops in the middle of its next command got its error after the deadline of the first and 2.2 s more, where 3 s are owed. Change: half commands are kept in the order in which they began, and one older than IDLE ends its connection; what is in work there is failed, as with any lost framing.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -388,6 +388,9 @@
         now = monotonic()
         for client in [c for c, since in self.idle.items() if since < now - IDLE]:
             client.expire()
+        limit = max(IDLE, HALF)
+        for client in list(itertools.takewhile(lambda c: self.halves[c] < now - limit, self.halves)):
+            client.expire_half(limit)
         for place, most, reason in (
             (self.ending, ENDING, CloseReason.NOT_ENDED),
             (self.stuck, STUCK, CloseReason.ANSWERS_NOT_TAKEN),
