--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -318,10 +318,8 @@
         return port
 
     def accept_failed(self, err: OSError) -> None:
-        """Where descriptors are short, an idle connection makes room for one that waits."""
+        """Nothing is closed for it: what waits is accepted once the failure is over."""
         self.events.tell(Kind.ACCEPT_FAILED, errno.errorcode.get(err.errno or 0, str(err)))
-        if err.errno in (errno.EMFILE, errno.ENFILE):
-            self.make_room()
 
     def joined(self, client: Client) -> None:
         self.clients.add(client)
