--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -196,8 +196,14 @@
     async def make_room(self):
         for filler in self.fillers:
             filler.close()
+        self.fillers = []
         self.server = await asyncio.start_server(self.joined, sock=self.listener)
 
+    async def __aexit__(self, *_):
+        if self.fillers:  # it never had room
+            await self.make_room()
+        await super().__aexit__()
+
 
 class StubCounter(Served):
     """Keeps totals; `silent` leaves calls unanswered until `answer_all`."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -77,3 +77,17 @@
 
 def vars_of(rules):
     return {name: getattr(rules, name) for name in ("cold_share", "cold_time", "fall_multiple", "fall_time")}
+
+
+def test_an_attempt_that_is_written_late_has_to_get_its_place_anew():
+    admission = ColdAdmission(host("h1", started=1.0), 0, 1, RULES)
+    share = round(admission.left(1.0, 0.2, 20.0))
+    for number in range(share):
+        admission.note(1.0, 1.0, ("early", number))
+    later = 1.0 + RULES.fall_time * 0.9
+    assert admission.move(later, 1.0, ("early", 0), 0.2, 20.0)  # in its own place
+    after = 1.0 + RULES.fall_time * 1.5
+    for number in range(share - 1):
+        admission.note(after, 1.0, ("late", number))
+    assert not admission.move(after, 1.0, ("early", 1), 0.2, 20.0)  # the window is full
+    assert admission.left(after, 0.2, 20.0) < 1.0
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -30,6 +30,13 @@
         self.host, self.counter, self.discovery = StubHost(), StubCounter(), StubDiscovery()
 
     async def __aenter__(self):
+        await self.start()
+        while b"listens on" not in (line := await self.program.stderr.readline()):
+            assert line
+        self.port = int(line.decode().rsplit(":", 1)[1])
+        return self
+
+    async def start(self):
         self.stack = contextlib.AsyncExitStack()
         for stub in (self.host, self.counter, self.discovery):
             await self.stack.enter_async_context(stub)
@@ -43,10 +50,6 @@
             env={**os.environ, "RELAY_CONFIG": str(config), **self.faults.environment},
             stderr=subprocess.PIPE,
         )
-        while b"listens on" not in (line := await self.program.stderr.readline()):
-            assert line
-        self.port = int(line.decode().rsplit(":", 1)[1])
-        return self
 
     async def __aexit__(self, *_):
         with contextlib.suppress(ProcessLookupError):
@@ -88,3 +91,34 @@
             assert await asyncio.gather(*waiting) == [SERVED] * 8
             gateway.faults.fail_accept(0)
         writer.close()
+
+
+CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENFILE)
+
+
+@on_loop
+async def test_requests_wait_while_this_machine_cannot_connect(shim, tmp_path):
+    async with FaultyGateway(shim, tmp_path) as gateway:
+        for number in CONNECT_ERRORS:
+            failed = gateway.faults[Field.CONNECT_FAILED]
+            gateway.faults.fail_connect(number)
+            asked = [asyncio.create_task(gateway.ask(b"r%d-%d" % (n, number))) for n in range(5)]
+            await gateway.until(Field.CONNECT_FAILED, failed + 3)
+            gateway.faults.fail_connect(0)
+            assert await asyncio.gather(*asked) == [SERVED] * 5
+            for writer in gateway.host.writers:  # so that the next attempts have to connect again
+                writer.close()
+
+
+@on_loop
+async def test_a_start_goes_on_once_sockets_can_be_made(shim, tmp_path):
+    gateway = FaultyGateway(shim, tmp_path)
+    gateway.faults.fail_socket(errno.ENFILE)
+    starting = asyncio.create_task(gateway.__aenter__())
+    await gateway.until(Field.SOCKET_FAILED, 3)
+    gateway.faults.fail_socket(0)
+    await starting
+    try:
+        assert await gateway.ask(b"r1") == SERVED
+    finally:
+        await gateway.__aexit__()
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -14,6 +14,7 @@
     SaturatedHost,
     StubHost,
     command,
+    entry,
     on_loop,
     read_reply,
     terms,
@@ -351,3 +352,23 @@
         await host.make_room()
         assert await read_reply(reader) == SERVED
         assert time_told(host) <= 3000 - 1000 * waited + 150
+
+
+@on_loop
+async def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_written(tmp_path):
+    keyed = {**SETTINGS["services"][1], "memory_span": 800_000_000}  # a connection comes up after a second
+    settings = settings_with(connect_timeout=2_500_000_000)
+    settings["services"] = [SETTINGS["services"][0], keyed, SETTINGS["services"][2]]
+    async with StubHost(None) as first, SaturatedHost() as late:
+        async with Node(first, path=tmp_path, settings=settings) as node:
+            asked = asyncio.create_task(node.ask(write()))
+            await first.arrived.get()
+            node.discovery.changes.put_nowait([entry(late, "h2")])
+            while "h2" not in node.node.servers.entries:
+                await asyncio.sleep(0.01)
+            first.writers[0].close()  # it may have run: its repeat has a window
+            while not (pool := node.node.hosts.pools.get("h2")) or not pool.coming:
+                await asyncio.sleep(0.01)
+            await late.make_room()
+            assert (await asked).startswith(b"-ERR")
+            assert not late.commands
