Take no trouble of one's own machine for a server's: wait and send again

Cause: each OSError of a connect, and no room for a descriptor, ended as connect_failed, was held against the server and spent the attempts of the request, so that during a moment without ports, routes or memory all were refused at once (five of five in the test; of an errno each: EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE). Change: own_trouble.py names these errors; such an attempt ends as 'unsent'. It blames no server and spends no attempt; the module sends nothing for 20 to 100 ms and the request waits in its queue, which has no cap on its length meanwhile.

--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -22,6 +22,7 @@
 from calicomast.net.framing import MOST_BODY, NO_MESSAGE, Framing, FramingError
 from calicomast.net.lifecycle import AttemptState, ServerState, change
 from calicomast.net.listing import Address
+from calicomast.net.own_trouble import is_own_trouble
 from calicomast.settings import read_report
 
 REST = 0.02  # s after an answer in which what comes behind it can still show itself: some milliseconds late
@@ -305,7 +306,7 @@
                 return
             conn.close()
         if not self.hosts.room():
-            asyncio.get_running_loop().call_soon(attempt.end, "connect_failed")
+            asyncio.get_running_loop().call_soon(attempt.end, "unsent")
             return
         self.coming[attempt] = asyncio.get_running_loop().create_task(self.connect(attempt))
 
@@ -316,8 +317,9 @@
         try:
             async with asyncio.timeout(self.hosts.connect_timeout):
                 _, conn = await loop.create_connection(lambda: Connection(self), *self.address)
-        except (OSError, ValueError):  # refused, out of time or descriptors, or no address at all
-            pass
+        except (OSError, ValueError) as err:  # refused, out of time or descriptors, or no address at all
+            if is_own_trouble(err):
+                result = "unsent"
         finally:
             waiting = self.coming.pop(attempt, None) is not None
         if conn is not None:
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -379,7 +379,8 @@
         self.line_up(pending)
         most = max(QUEUE_LEAST, self.fleet.own_rate(now) * QUEUE_HOLD * pending.cls.aim)
         self.queue = [j for j in self.queue if not j.done] if len(self.queue) > most else self.queue
-        if len(self.queue) > most:
+        # What waits for this machine waits for a moment only: that is no overload.
+        if len(self.queue) > most and now >= self.fleet.hindered_until:
             self.refuse(now, self.queue.pop(0), RefusalReason.QUEUE_FULL)
         self.drain_queue(now)
         if pending.stage == "queue" and not pending.done:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -78,6 +78,8 @@
 async def test_a_failing_accept_takes_no_cpu_and_costs_no_connection_that_waits(shim, tmp_path):
     async with FaultyGateway(shim, tmp_path) as gateway:
         reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        writer.write(command(b"first"))
+        assert await read_reply(reader) == SERVED  # so that this connection does not wait for accept
         for number in ACCEPT_ERRORS:
             failed = gateway.faults[Field.ACCEPT_FAILED]
             gateway.faults.fail_accept(number)
