Go on with a start and a new configuration once the system lets them

Cause: of all errors at the start only an address in use was waited for, so a moment without descriptors ended the program (a refusal to start); a configuration that could not be read at SIGHUP, half written or for want of a descriptor, was given up for good, and discovery's new address never heard of. SIGTERM while the address was in use was heard after up to 5 s. Change: a start waits for 20 s where the trouble is the machine's own; a configuration is tried again after 0.1, 0.2, 0.4 and 0.8 s; SIGTERM ends a start. SIGUSR1 prints the counts.

--- a/calicomast/net/program.py
+++ b/calicomast/net/program.py
@@ -16,10 +16,14 @@
 
 from calicomast.net.config import Config, ConfigError, config_steps, read_config
 from calicomast.net.gateway import GatewayNode
+from calicomast.net.own_trouble import is_own_trouble
 
 STEPS_AT_ONCE = 4  # of reading the configuration again
 MOST_LINES = 5  # of the log in a second
-IN_USE, IN_USE_PAUSE = 5.0, 0.05  # s for which an address that is still in use is tried again; between tries
+IN_USE = 5.0  # s for which an address that is still in use is tried again
+HINDERED = 20.0  # s for which a start is, where the system is short of descriptors or memory
+START_PAUSE = 0.05  # s between tries
+RELOAD_PAUSES = (0.1, 0.2, 0.4, 0.8)  # s between tries of a configuration that cannot be read
 
 
 class Seldom(logging.Filter):
@@ -51,27 +55,46 @@
     node = GatewayNode(config)
     reloader = Reloader(node)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    loop.add_signal_handler(signal.SIGUSR1, node.print_counts)
     if hangups.seen > known:  # since the configuration was read
         reloader.reload()
-    port = await start(node)
+    port = await start(node, told)
+    if port is None:
+        return
     gc.freeze()  # what the start made stays for good: no collection need look at it again
     logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
     await told.wait()
     await node.stop()
 
 
-async def start(node: GatewayNode) -> int:
-    """Starts it, at its address as soon as that is free: what had it before may be just ending."""
+async def start(node: GatewayNode, told: asyncio.Event) -> int | None:
+    """Starts it, at its address as soon as that is free: what had it before may be just ending. None where it
+    was told to end before."""
     await node.start()
-    until = time.monotonic() + IN_USE
-    while True:
+    began = time.monotonic()
+    while not told.is_set():
         try:
             return await node.listen()
         except OSError as err:
-            if err.errno != errno.EADDRINUSE or time.monotonic() > until:
+            most = HINDERED if is_own_trouble(err) else IN_USE if err.errno == errno.EADDRINUSE else 0.0
+            if time.monotonic() > began + most:
+                raise
+            reason = "in use" if err.errno == errno.EADDRINUSE else err.strerror
+            logging.getLogger(__name__).warning("cannot listen yet, trying again: %s", reason)
+            await asyncio.sleep(START_PAUSE)
+    return None
+
+
+def read_at_start(hangups: Hangups) -> Config:
+    """The configuration; raises ConfigError where it cannot be used, or not be read for too long."""
+    until = time.monotonic() + HINDERED
+    while True:
+        try:
+            return read_config(again=hangups.seen > 0)
+        except ConfigError as err:
+            if not is_own_trouble(err.__cause__) or time.monotonic() > until:
                 raise
-            logging.getLogger(__name__).warning("the address is in use, trying again")
-            await asyncio.sleep(IN_USE_PAUSE)
+            time.sleep(START_PAUSE)
 
 
 class Reloader:
@@ -81,9 +104,19 @@
     def __init__(self, node: GatewayNode) -> None:
         self.node = node
         self.steps: Generator[None, None, Config] | None = None
+        self.again: asyncio.TimerHandle | None = None
+        self.tries = 0
 
     def reload(self) -> None:
         """The file was replaced. A short one is in force when this returns."""
+        self.tries = 0
+        self.begin()
+
+    def begin(self) -> None:
+        """Reads it from its beginning."""
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
         self.steps = config_steps(again=True, keep_known=False)
         self.proceed(self.steps)
 
@@ -100,16 +133,24 @@
         except ConfigError as err:
             self.steps = None
             logging.getLogger(__name__).error("the old configuration stays: %s", err)
+            self.try_again()
         else:
             asyncio.get_running_loop().call_soon(self.proceed, steps)
 
+    def try_again(self) -> None:
+        """The file may be just being written, or the system out of descriptors: nobody sends SIGHUP again."""
+        if self.tries < len(RELOAD_PAUSES):
+            pause = RELOAD_PAUSES[self.tries]
+            self.tries += 1
+            self.again = asyncio.get_running_loop().call_later(pause, self.begin)
+
 
 def main(hangups: Hangups) -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Seldom())
     try:
         known = hangups.seen
-        uvloop.run(serve(read_config(again=known > 0), hangups, known))
+        uvloop.run(serve(read_at_start(hangups), hangups, known))
     except (ConfigError, OSError) as err:
         print(f"calicomast: {err}", file=sys.stderr)
         return 2
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -278,3 +278,39 @@
         reloader.reload()
         await asyncio.sleep(0.2)
         assert len(taken) == 2 and reloader.steps is None
+
+
+@on_loop
+async def test_a_configuration_that_was_half_written_is_read_again(tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as old, StubDiscovery() as new:
+        new.servers = old.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], old.port, counter.port)))
+        env = {**os.environ, "RELAY_CONFIG": str(config)}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+        assert b"listens on" in await program.stderr.readline()
+        text = json.dumps(told([entry(host)], new.port, counter.port))
+        config.write_text(text[: len(text) // 2])
+        program.send_signal(signal.SIGHUP)
+        assert b"the old configuration stays" in await program.stderr.readline()
+        config.write_text(text)  # no other SIGHUP follows
+        await new.calls.get()
+        program.kill()
+        await program.wait()
+
+
+@on_loop
+async def test_an_end_before_the_address_is_free_is_an_end(tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
+        config = tmp_path / "config.json"
+        with socket.create_server(("127.0.0.1", 0)) as before:
+            listed = told([entry(host)], discovery.port, counter.port)
+            listed["listen"] = f"127.0.0.1:{before.getsockname()[1]}"
+            config.write_text(json.dumps(listed))
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+            )
+            assert b"in use" in await program.stderr.readline()
+            program.send_signal(signal.SIGTERM)
+            program.send_signal(signal.SIGTERM)
+            assert await program.wait() == 0
