Add the soak: real gateways under overlapping troubles, judged from outside

python -m emulator soak plays a fleet of real processes on loopback before stand-ins of its own: a TCP proxy between the parties (late, cut, reset, half, stalled, in pieces), signals, clients of every manner, and the shim that fails system calls and steps the wall clock.

--- a/emulator/cli.py
+++ b/emulator/cli.py
@@ -19,6 +19,7 @@
 from emulator.runner import run_scenario
 from emulator.scenarios import DEFAULT, SCENARIOS
 from emulator.scenarios.base import Options, ScenarioError
+from emulator.soak.command import soak
 
 USAGE, INTERRUPTED = 2, 130  # exit codes
 MOST_GATEWAYS, MOST_SERVERS, MOST_TENANTS = 10_000, 200_000, 1_000_000
@@ -115,6 +116,9 @@
             log.info("plot drawn", file=str(plot_fit(result, fit, plots)))
 
 
+app.command("soak")(soak)
+
+
 def main(arguments: list[str] | None = None) -> None:
     """Runs the command line. Bad arguments give one line on standard error and exit code 2."""
     structlog.configure(
--- /dev/null
+++ b/emulator/soak/command.py
@@ -0,0 +1,51 @@
+"""The command `python -m emulator soak`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from rich.console import Console
+
+from emulator.real.faults import ShimError
+from emulator.soak.play import SoakError, SoakOptions, play
+from emulator.soak.report import print_soak, write_soak
+
+SECONDS = 60  # in a minute
+MOST_GATEWAYS, MOST_MINUTES = 60, 120.0
+FOUND = 1  # exit code where an invariant did not hold
+
+
+def soak(
+    seed: Annotated[int, typer.Option(min=0, help="Of the troubles that are drawn.")] = 1,
+    gateways: Annotated[int, typer.Option(min=1, max=MOST_GATEWAYS, help="Real processes.")] = 24,
+    minutes: Annotated[
+        float, typer.Option(min=0.05, max=MOST_MINUTES, help="For which troubles are played.")
+    ] = 1.0,
+    troubles: Annotated[str, typer.Option(help="Names to draw from, with commas; all if empty.")] = "",
+    out: Annotated[
+        Path | None, typer.Option(dir_okay=False, help="Also write what was found as JSON.")
+    ] = None,
+    logs: Annotated[
+        Path | None, typer.Option(file_okay=False, help="Keep configurations and logs here.")
+    ] = None,
+) -> None:
+    """Plays real gateways under overlapping troubles and judges them from outside."""
+    names = tuple(name for name in troubles.split(",") if name)
+    options = SoakOptions(seed, gateways, minutes * SECONDS, names, folder=logs)
+    errors = Console(stderr=True)
+    try:
+        result = play(
+            options, lambda text, part: errors.print(f"{100 * part:3.0f}%  {text}", highlight=False)
+        )
+    except (SoakError, ShimError) as err:
+        raise typer.BadParameter(str(err)) from err
+    print_soak(Console(width=240), result)
+    if out is not None:
+        try:
+            write_soak(result, out)
+        except OSError as err:
+            raise typer.BadParameter(f"{out}: {err.strerror}") from err
+    if result.violations:
+        raise typer.Exit(FOUND)
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -205,6 +205,11 @@
         await super().__aexit__()
 
 
+def time_told(host):
+    """The milliseconds that the last command told its host."""
+    return int(dict(term.split(b"=") for term in host.commands[-1][3].split(b","))[b"d"])
+
+
 class StubCounter(Served):
     """Keeps totals; `silent` leaves calls unanswered until `answer_all`."""
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,10 +6,22 @@
 import json
 import os
 import subprocess
+import time
 from pathlib import Path
 
 import pytest
-from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+from netkit import (
+    SERVED,
+    StubCounter,
+    StubDiscovery,
+    StubHost,
+    command,
+    entry,
+    on_loop,
+    read_reply,
+    time_told,
+    told,
+)
 from test_net_process import PROGRAM
 
 from emulator.real.faults import Faults, Field, build_shim
@@ -95,6 +107,22 @@
         writer.close()
 
 
+@on_loop
+async def test_a_request_that_waited_for_accept_has_only_the_rest_of_its_time(shim, tmp_path):
+    async with FaultyGateway(shim, tmp_path) as gateway:
+        gateway.faults.fail_accept(errno.ENOBUFS)
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        writer.write(command())
+        asked = time.monotonic()
+        await gateway.until(Field.ACCEPT_FAILED, 3)
+        await asyncio.sleep(0.5)
+        waited = time.monotonic() - asked  # it cannot have been read before
+        gateway.faults.fail_accept(0)
+        assert await read_reply(reader) == SERVED
+        assert time_told(gateway.host) <= 3000 - 1000 * waited + 150
+        writer.close()
+
+
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENFILE)
 
 
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -18,6 +18,7 @@
     on_loop,
     read_reply,
     terms,
+    time_told,
     write,
 )
 
@@ -335,11 +336,6 @@
     return {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
 
 
-def time_told(host):
-    """The milliseconds that the last command told its host."""
-    return int(dict(term.split(b"=") for term in host.commands[-1][3].split(b","))[b"d"])
-
-
 @on_loop
 async def test_a_connection_that_comes_up_late_tells_what_is_left_then(tmp_path):
     settings = settings_with(connect_timeout=2_500_000_000)
