Count a request's time also while it could not be read

The same mistake elsewhere: a connection that is not read, as 512 commands on it are in work, counted what lay there from its reading; it has a test too. Change: the listener tells a connection since when accept failed, a connection notes since when it was not read, and what is read next has that much less time.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -77,8 +77,9 @@
 class Client(asyncio.Protocol):
     """One connection of a client."""
 
-    def __init__(self, server: ClientServer) -> None:
+    def __init__(self, server: ClientServer, waited: float = 0.0) -> None:
         self.server = server
+        self.unread_for = waited  # s for which what is read next may have lain there, for a reason known here
         self.number = next(server.numbers)
         self.state, self.reason = ClientState.OPEN, CloseReason.CLIENT_LEFT
         self.framing = Framing()
@@ -86,6 +87,7 @@
         self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
         self.began = self.due = 0.0  # when the half command did; until when an answer that was written counts
         self.writes_paused = self.reads_paused = False
+        self.paused_at = 0.0  # when reading was
         self.dispatching = False  # commands that were read are just being handed over, one after another
         self.transport: asyncio.Transport
 
@@ -161,6 +163,7 @@
         except FramingError:
             spoilt = True
         self.dispatching = False
+        self.unread_for = 0.0
         if not self.readable:
             return
         if spoilt:
@@ -201,6 +204,10 @@
         if self.readable and self.began < monotonic() - seconds and not self.unread():
             self.fail(b"-ERR command not finished in time\r\n", CloseReason.HALF_COMMAND)
 
+    def waited(self) -> float:
+        """How long, at most, what is read now has lain unread: s by which its client's time is shorter."""
+        return max(self.unread_for, self.server.waited())
+
     def unread(self) -> bool:
         """Whether the socket holds bytes that were not read yet."""
         told = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0\0\0\0")
@@ -281,9 +288,11 @@
         if pause != self.reads_paused and not self.transport.is_closing():
             self.reads_paused = pause
             if pause:
+                self.paused_at = monotonic()
                 self.transport.pause_reading()
                 self.server.unread.add(self)
             else:
+                self.unread_for = monotonic() - self.paused_at
                 self.transport.resume_reading()
                 self.server.unread.discard(self)
 
@@ -309,7 +318,7 @@
         self.looks: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
-        listener = Listener(lambda: Client(self), self.accept_failed)
+        listener = Listener(lambda waited: Client(self, waited), self.accept_failed)
         port = listener.open(host, port)
         self.listener = listener
         self.sweep()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -250,7 +250,7 @@
     def take(self, slot: Slot, told: object) -> None:
         """Takes a request on, or refuses it at once; raises BadRequest."""
         command = check_form(told)
-        request = read_request(command, self.settings, WAY_BACK + self.clients.waited())
+        request = read_request(command, self.settings, WAY_BACK + slot.client.waited())
         if request.id in self.works:
             raise BadRequest("this id is in work")
         verdict = may_take_request(
--- a/calicomast/net/listener.py
+++ b/calicomast/net/listener.py
@@ -24,12 +24,15 @@
     """Accepts connections at one address.
 
     Args:
-        protocol: makes the protocol of a new connection.
+        protocol: makes the protocol of a new connection, told for how many seconds it may have waited here
+            because accept failed.
         failed: hears of each call of accept that failed.
     """
 
     def __init__(
-        self, protocol: Callable[[], asyncio.Protocol], failed: Callable[[OSError], None] = lambda err: None
+        self,
+        protocol: Callable[[float], asyncio.Protocol],
+        failed: Callable[[OSError], None] = lambda err: None,
     ) -> None:
         self._protocol, self._failed = protocol, failed
         self._socket: socket.socket | None = None
@@ -37,6 +40,7 @@
         self._handed_over: set[asyncio.Task[None]] = set()
         self._pause = PAUSE_LEAST
         self._paused: asyncio.TimerHandle | None = None
+        self._failing_since: float | None = None  # connections that wait may have come at any time since
         self.failures = 0  # calls of accept that failed
 
     def open(self, host: str, port: int) -> int:
@@ -83,9 +87,11 @@
         return True
 
     def _readable(self) -> None:
-        """Accepts one in a turn of the loop: what those before it ask is begun first."""
+        """Accepts one in a turn of the loop: what those before it ask is begun first. After a failure all
+        that wait are accepted, so that it is known which did."""
         try:
-            self._accept()
+            while self._accept() and self._failing_since is not None:
+                pass
         except OSError as err:
             self._note(err)
             self._stop_reading()
@@ -98,22 +104,26 @@
         try:
             accepted, _ = self._socket.accept()
         except BlockingIOError:
+            self._failing_since = None
             return False
         self._pause = PAUSE_LEAST
-        task = self._loop.create_task(self._hand_over(accepted))
+        waited = monotonic() - self._failing_since if self._failing_since is not None else 0.0
+        task = self._loop.create_task(self._hand_over(accepted, waited))
         self._handed_over.add(task)
         task.add_done_callback(self._handed_over.discard)
         return True
 
-    async def _hand_over(self, accepted: socket.socket) -> None:
+    async def _hand_over(self, accepted: socket.socket, waited: float) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._protocol, accepted)
+            await self._loop.connect_accepted_socket(lambda: self._protocol(waited), accepted)
         except Exception:  # one connection must not end the others
             log.exception("an accepted connection could not be taken over")
             accepted.close()
 
     def _note(self, err: OSError) -> None:
         self.failures += 1
+        if self._failing_since is None:
+            self._failing_since = monotonic()
         self._failed(err)
 
     def _stop_reading(self) -> None:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
-from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
+from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms, time_told
 
 from calicomast.net import clients, gateway
 
@@ -499,3 +500,28 @@
         assert await read_reply(reader) == b"-ERR failed\r\n"
         assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
         assert await reader.read() == b""
+
+
+@on_loop
+async def test_what_lay_unread_while_a_client_was_not_read_has_only_the_rest_of_its_time(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+
+        class Mute:
+            def handle(self, now, event):
+                return []
+
+        module, node.node.module = node.node.module, Mute()
+        reader, writer = await node.connect()
+        for n in range(clients.MOST_PENDING):
+            writer.write(command(b"r%d" % n))
+        while not node.node.clients.unread:
+            await asyncio.sleep(0)
+        writer.write(command(b"last"))
+        asked = time.monotonic()
+        await asyncio.sleep(0.4)
+        waited = time.monotonic() - asked  # it is not read before
+        node.node.module = module
+        for work in list(node.node.works.values()):
+            node.node.finish(work, SERVED)
+        assert [await read_reply(reader) for _ in range(clients.MOST_PENDING + 1)][-1] == SERVED
+        assert time_told(host) <= 3000 - 1000 * waited + 150
