Read a server's start on the clock that makes it the youngest

Cause: Clock.zero is fixed at the start, which keeps windows and deadlines spans of real time through a step, but what is told after a step may stand on the stepped clock. Change: a start is put on our own clock once, as it is told; of the ages by the clock before and after a step the smaller one counts that is not negative. With a server that is really older that errs by the step at most, on the safe side. The run-time check of the time told now goes by the reading that it was made from, so that a hold-up in a test is no violation.

--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -16,6 +16,7 @@
 
 from calicomast import interface as api
 from calicomast.net.clients import FAILED, ClientServer, Slot
+from calicomast.net.clock import Clock
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
@@ -55,16 +56,6 @@
 log = logging.getLogger(__name__)
 
 
-class Clock:
-    """Unix time that never steps: hosts' starts and the counter's windows are told in it."""
-
-    def __init__(self) -> None:
-        self.zero = time.time() - time.monotonic()
-
-    def __call__(self) -> float:
-        return self.zero + time.monotonic()
-
-
 def list_bound(memory: int) -> int:
     """Bytes that a list of servers may have where so many bytes of memory may be taken: what is held of an
     entry takes about three times its text."""
@@ -88,7 +79,7 @@
         # Bodies in work and half commands are bounded: past the limit of memory the program is killed.
         self.most_held = max(LEAST_HELD, (config.memory - OWN_MEMORY) // 4)
         self.clients = ClientServer(self, room // 2, self.most_held, self.log)
-        self.servers = ServerTable(self.feed, lambda server: self.hosts.stop(server))
+        self.servers = ServerTable(self.feed, lambda server: self.hosts.stop(server), self.clock.started)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2, self.servers.address)
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.most_list = list_bound(config.memory)
@@ -369,8 +360,9 @@
                     self.gone(work.slot)
                 return None
         work.begun += 1
-        payload = work.payload(work.deadline - time.monotonic())
-        self.check_written(attempt, payload)
+        left = work.deadline - time.monotonic()
+        payload = work.payload(left)
+        self.check_written(attempt, payload, left)
         return payload
 
     def not_written(self, attempt: Attempt, verdict: Verdict) -> None:
@@ -379,15 +371,14 @@
             Kind.ATTEMPT_NOT_WRITTEN, verdict.value, id=work.id, attempt=number, server=attempt.host
         )
 
-    def check_written(self, attempt: Attempt, payload: bytes) -> None:
-        """The rules once more, from what goes on the wire and from clocks read anew."""
+    def check_written(self, attempt: Attempt, payload: bytes, left: float) -> None:
+        """The rules once more, from what goes on the wire; `left`: seconds until the module's deadline."""
         work, number = attempt.tag
         detail = f"request {work.id} attempt {number} server {attempt.host}"
         terms = payload.split(b"\r\n", 9)[8]
         start, end = time_field(terms)
         told = int(terms[start:end]) / 1000
-        left = work.deadline + WAY_BACK - time.monotonic()
-        MONITOR.check(told <= max(left, 0.0) + HOLD_UP, Invariant.DEADLINE_TOLD, f"{detail} {told} {left}")
+        MONITOR.check(told <= max(left, 0.0) + WAY_BACK, Invariant.DEADLINE_TOLD, f"{detail} {told} {left}")
         MONITOR.check(not work.over, Invariant.ATTEMPT_AFTER_ANSWER, detail)
         MONITOR.check(work.begun <= self.settings.limits.max_attempts, Invariant.ATTEMPT_LIMIT, detail)
         second = self.settings.limits.second_copies or len(work.live) <= 1
--- a/calicomast/net/listing.py
+++ b/calicomast/net/listing.py
@@ -10,12 +10,12 @@
 from typing import Any, NamedTuple
 
 from calicomast import interface as api
+from calicomast.net.clock import LONG_AGO
 from calicomast.net.json_stream import JsonArrayReader
 
 STATE = {"up": "up", "draining": "leaving", "removed": "down"}
 MOST_VERSION = 2**63
 MOST_CELL = 2**31
-LONG_AGO = 0.0  # s; the start of most servers
 MOST_REPEATED = 16_384  # values that are looked for; past that each new one is kept by itself
 PORT = r"([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 ADDRESS = re.compile(r"\S+:" + PORT)
--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Generator, Iterator
 
 from calicomast import interface as api
+from calicomast.net.clock import LONG_AGO
 from calicomast.net.listing import Address, Entry, Listing, read_address
 from calicomast.rules import Verdict, may_apply_list
 
@@ -26,10 +27,18 @@
     Args:
         feed: hands an event to the decision module.
         stop: nothing more goes to this server, nor to the address that it had.
+        started: gives a start that was just told on this gateway's clock.
     """
 
-    def __init__(self, feed: Callable[[api.Event], None], stop: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        feed: Callable[[api.Event], None],
+        stop: Callable[[str], None],
+        started: Callable[[float], float] = lambda told: told,
+    ) -> None:
         self.entries: dict[str, Entry] = {}
+        self._started = started
+        self._starts: dict[str, tuple[float, float]] = {}  # of servers that told one: as told, on our clock
         self._feed, self._stop = feed, stop
 
     def address(self, server: str) -> Address | None:
@@ -106,11 +115,23 @@
         for entry in entries:
             if entry.host.state == "up":
                 self._hold(entry)
-        self._feed(api.HostList(mode, version, tuple([entry.host for entry in entries])))
+        self._feed(api.HostList(mode, version, tuple([self._on_our_clock(entry.host) for entry in entries])))
         for entry in entries:
             if entry.host.state != "up":
                 self._leave(entry)
 
+    def _on_our_clock(self, host: api.Host) -> api.Host:
+        """The server with its start on this gateway's clock, worked out once for each start."""
+        if host.started == LONG_AGO:
+            return host
+        told, started = self._starts.get(host.id, (None, 0.0))
+        if told != host.started:
+            started = self._started(host.started)
+            self._starts[host.id] = host.started, started
+        if host.state == "down":
+            del self._starts[host.id]
+        return dataclasses.replace(host, started=started)
+
     def _hold(self, entry: Entry) -> None:
         held = self.entries.get(entry.host.id)
         if held is not None and not entry.address:  # it is where it was
