--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -201,7 +201,9 @@
 
     def expire_half(self, seconds: float) -> None:
         """Ends a command of which only a part has come for so long, unless its rest lies in the socket."""
-        if self.readable and self.began < monotonic() - seconds and not self.unread():
+        if not self.readable or self.transport.is_closing() or self.began >= monotonic() - seconds:
+            return
+        if not self.unread():
             self.fail(b"-ERR command not finished in time\r\n", CloseReason.HALF_COMMAND)
 
     def waited(self) -> float:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,6 +29,15 @@
             assert f"calicomast/{name}.py" in named
 
 
+def test_the_program_writes_no_file():
+    """So no full or failing disk can lose anything that was taken on."""
+    for file in (ROOT / "calicomast").rglob("*.py"):
+        text = file.read_text()
+        opened = re.findall(r"(?<![\w.])open\(([^)]*)\)", text)
+        assert all(told in ("self", 'path, "rb"') or told.startswith("self, ") for told in opened), file
+        assert not re.search(r"write_text|write_bytes|os\.open|mkdir|\.rename\(|unlink\(", text), file
+
+
 def test_readme_example_runs():
     text = (ROOT / "README.md").read_text()
     code = text.split("```python\n")[1].split("```")[0]
