--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,7 +7,7 @@
 from calicomast import interface as api
 
 ROOT = Path(__file__).resolve().parent.parent
-MOST_LINES = 560  # of a file of the module that are not blank
+MOST_LINES = 500  # of a file of the module that are not blank
 
 
 def test_module_stays_within_its_limits():
