Wait for connections that come while the listener closes

close() drains the queue until a step finds nothing new in it, and closes in that same step. A connection that ends with commands still in work is now a violation of its own.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -265,6 +265,7 @@
         if verdict is not Verdict.ALLOWED:
             self.server.idle.setdefault(self, monotonic())  # what has come was taken: it is answered first
             return
+        MONITOR.check(not self.pending, Invariant.CLOSED_OWING, f"connection {self.number}")
         self.server.idle.pop(self, None)
         self.server.ending.setdefault(self, monotonic())
         if self.state in (ClientState.CLOSING, ClientState.BROKEN):
--- a/calicomast/net/listener.py
+++ b/calicomast/net/listener.py
@@ -68,9 +68,13 @@
         if self._socket is None:
             return
         until = monotonic() + LAST_ACCEPTS
-        while not self._accept_waiting() and monotonic() < until:
-            await asyncio.sleep(self._pause)
-        await asyncio.gather(*self._handed_over)
+        while monotonic() < until:
+            if not self._accept_waiting():
+                await asyncio.sleep(self._pause)
+            elif self._handed_over:
+                await asyncio.gather(*self._handed_over)  # others may have come meanwhile
+            else:
+                break
         self._stop_reading()
         self._socket.close()
         self._socket = None
