Force four crossings of the limit on attempts, and end what a killed soak leaves

Of the table's 18 crossings without a test four had to do with the number of attempts; no fault was found there. The shim asks the system to end a gateway under test together with the process that started it: a soak that was killed left 24 gateways behind, whose calls for lists came to ports that others had got since.

--- a/emulator/real/faults.c
+++ b/emulator/real/faults.c
@@ -9,9 +9,11 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -35,6 +37,7 @@
 static uint64_t draw_state = 88172645463325252ULL;
 
 __attribute__((constructor)) static void map_control(void) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* nothing that a test starts outlives it */
     const char *path = getenv("FAULTS_FILE");
     int file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
     if (file < 0)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -246,3 +246,31 @@
     acts = w.wait(0.6)
     end = [at for at, a in w.log if isinstance(a, api.Refuse | api.Fail) and a.id == name]
     assert of(acts, api.Refuse | api.Fail) and end[0] <= arrived + 0.4 + 0.05
+
+
+@pytest.mark.parametrize("result", ["full", "reset", "timeout", "error", "connect_failed"])
+def test_no_request_has_more_attempts_than_the_settings_allow(result):
+    hosts = [host(f"h{n}") for n in range(1, 9)]
+    w = World(settings(gateways=1, limits={"max_attempts": 3, "second_copies": True}), hosts)
+    name, acts = w.ask()
+    sends = of(acts, api.Send)
+    for number in range(8):
+        if number < len(sends):
+            w.do(api.HostList("delta", 2 + number, (host(f"new{number}"),)))  # another that it could go to
+            sends += of(w.end(sends[number], result, attempt=number), api.Send)
+            sends += of(w.wait(0.3), api.Send)  # a second copy, where one is late
+    assert len([s for s in sends if s.id == name]) <= 3
+
+
+@pytest.mark.parametrize("result", api.NEVER_BEGAN)
+def test_an_attempt_that_never_began_spends_none_and_blames_no_server(result):
+    w = World(settings(gateways=1, limits={"max_attempts": 1}), [host("h1"), host("h2")])
+    name, acts = w.ask()
+    sends = of(acts, api.Send)
+    for number in range(3):
+        acts = w.end(sends[-1], result, attempt=number) + w.wait(0.12)
+        sends += of(acts, api.Send)
+        assert len(sends) == number + 2 and not of(acts, api.Refuse)
+    detector = w.gw.fleet.detector
+    assert not detector.hosts
+    assert of(w.end(sends[-1], "full", attempt=3), api.Refuse)  # that one counts
