--- a/tests/test_net_listing.py
+++ b/tests/test_net_listing.py
@@ -8,6 +8,7 @@
 from test_net_discovery import Agent, sendable
 
 from calicomast.net import discovery, gateway, listing, server_table
+from calicomast.net.events import Kind
 from calicomast.net.json_stream import LONGEST_VALUE, JsonArrayReader
 from calicomast.net.listing import PIECE, ListReader, read_list
 from calicomast.net.server_table import COMPARED, SLICE, ServerTable
@@ -344,3 +345,19 @@
 def test_pieces_and_slices_are_small_enough_to_let_others_run():
     assert listing.PIECE <= 16 * 1024 and server_table.SLICE <= 128
     assert server_table.COMPARED <= 1000
+
+
+@on_loop
+async def test_a_list_is_not_gone_on_with_once_the_configuration_names_another_discovery(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        await node.discovery.calls.get()
+        many = [entry(host, f"x{n}") for n in range(3 * SLICE)]
+        listed = read_list(json.dumps({"version": 5, "full": False, "servers": many}).encode())
+        slices = node.node.take_list(listed, node.node.sources)
+        next(slices)
+        held = len(node.node.servers.entries)
+        node.node.reload(node.node.config)
+        with pytest.raises(ValueError, match="replaced"):
+            next(slices)
+        assert len(node.node.servers.entries) == held < 3 * SLICE
+        assert node.node.log.counts[Kind.LIST_NOT_APPLIED, "discovery was replaced"] == 1
