--- a/emulator/soak/command.py
+++ b/emulator/soak/command.py
@@ -9,11 +9,11 @@
 from rich.console import Console
 
 from emulator.real.faults import ShimError
-from emulator.soak.play import SoakError, SoakOptions, play
+from emulator.soak.play import RATE, SoakError, SoakOptions, play
 from emulator.soak.report import print_soak, write_soak
 
 SECONDS = 60  # in a minute
-MOST_GATEWAYS, MOST_MINUTES = 60, 120.0
+MOST_GATEWAYS, MOST_MINUTES, MOST_RATE = 60, 120.0, 500.0
 FOUND = 1  # exit code where an invariant did not hold
 
 
@@ -23,6 +23,7 @@
     minutes: Annotated[
         float, typer.Option(min=0.05, max=MOST_MINUTES, help="For which troubles are played.")
     ] = 1.0,
+    rate: Annotated[float, typer.Option(min=1, max=MOST_RATE, help="Requests a second each.")] = RATE,
     troubles: Annotated[str, typer.Option(help="Names to draw from, with commas; all if empty.")] = "",
     out: Annotated[
         Path | None, typer.Option(dir_okay=False, help="Also write what was found as JSON.")
@@ -33,7 +34,7 @@
 ) -> None:
     """Plays real gateways under overlapping troubles and judges them from outside."""
     names = tuple(name for name in troubles.split(",") if name)
-    options = SoakOptions(seed, gateways, minutes * SECONDS, names, folder=logs)
+    options = SoakOptions(seed, gateways, minutes * SECONDS, rate, names, folder=logs)
     errors = Console(stderr=True)
     try:
         result = play(
--- a/emulator/soak/play.py
+++ b/emulator/soak/play.py
@@ -19,6 +19,7 @@
 from emulator.soak.troubles import TROUBLES
 from emulator.soak.world import World
 
+RATE = 14.0  # requests a second for each gateway, if nothing else is said
 SETTLE = 2.0  # seconds before the first trouble
 FEWEST, MOST = 2, 3  # troubles that overlap
 SHORTEST, LONGEST = 1.5, 5.0  # seconds of a trouble
@@ -32,6 +33,7 @@
 
     Attributes:
         seconds: for which troubles are played.
+        rate: requests a second for each gateway.
         troubles: names to draw from; all where it is empty.
         overlap: how many of them at once; two or three where it is None.
         folder: where configurations and logs are kept; a temporary one where it is None.
@@ -41,6 +43,7 @@
     seed: int = 1
     gateways: int = 24
     seconds: float = 60.0
+    rate: float = RATE
     troubles: tuple[str, ...] = ()
     overlap: int | None = None
     folder: Path | None = None
@@ -112,7 +115,7 @@
 
 async def play_in(folder: Path, options: SoakOptions, progress: Callable[[str, float], None]) -> Record:
     """Plays one soak with its files in a folder."""
-    world = World(options.gateways, options.seed, folder, build_shim(folder), options.broken)
+    world = World(options.gateways, options.seed, folder, build_shim(folder), options.rate, options.broken)
     try:
         await world.start()
         await play_episodes(world, options, progress)
--- a/emulator/soak/report.py
+++ b/emulator/soak/report.py
@@ -13,7 +13,7 @@
 from rich.table import Table
 
 from emulator.soak.judges import Violation
-from emulator.soak.play import SoakOptions, SoakResult
+from emulator.soak.play import RATE, SoakOptions, SoakResult
 from emulator.soak.record import Record
 
 MOST_PRINTED = 20  # violations
@@ -24,6 +24,8 @@
     """The command that plays the same troubles again."""
     words = ["python", "-m", "emulator", "soak", "--seed", str(options.seed)]
     words += ["--gateways", str(options.gateways), "--minutes", f"{options.seconds / 60:g}"]
+    if options.rate != RATE:
+        words += ["--rate", f"{options.rate:g}"]
     if options.troubles:
         words += ["--troubles", ",".join(options.troubles)]
     return shlex.join(words)
--- a/emulator/soak/world.py
+++ b/emulator/soak/world.py
@@ -11,10 +11,11 @@
 from emulator.soak.clients import Crowd, Front
 from emulator.soak.fleet import SoakGateway
 from emulator.soak.record import Record
+from emulator.soak.shape import SLOTS, WORK
 from emulator.soak.standins import Agent, FontServer, SoakCounter, SoakList, started_now
 
-RATE = 14.0  # requests a second for each gateway
 SERVERS_LEAST = 6
+LOAD = 0.35  # part of what all servers can do that is asked
 SAMPLE_EVERY = 0.5  # seconds
 LAG_LOOK, LAG_NOTED = 0.01, 0.02  # seconds
 
@@ -23,8 +24,15 @@
     """A fleet and all that it speaks to."""
 
     def __init__(
-        self, gateways: int, seed: int, folder: Path, shim: Path, broken: tuple[str | None, ...] = ()
+        self,
+        gateways: int,
+        seed: int,
+        folder: Path,
+        shim: Path,
+        rate: float,
+        broken: tuple[str | None, ...] = (),
     ) -> None:
+        """`rate`: requests a second for each gateway."""
         self.generator = random.Random(seed)
         self.record = Record(time.monotonic())
         self.listed, self.counter = SoakList(), SoakCounter()
@@ -37,7 +45,8 @@
             self.gateways.append(SoakGateway(index, gateways, folder, shim, agent, self.record, how))
         self.front = Front([gateway.port for gateway in self.gateways], self.life)
         self.crowd = Crowd(self.front, self.record, self.generator)
-        self.server_count = max(SERVERS_LEAST, gateways * 2 // 3)
+        self.rate = rate * gateways  # requests a second in all
+        self.server_count = max(SERVERS_LEAST, round(self.rate * WORK / SLOTS / LOAD))
         self.watchers: list[asyncio.Task[None]] = []
 
     def life(self, index: int) -> int:
@@ -57,11 +66,6 @@
             for work in (self.watch_lag(), self.watch_fleet(), self.crowd.ask_steadily(self.rate))
         ]
 
-    @property
-    def rate(self) -> float:
-        """Requests a second in all."""
-        return RATE * len(self.gateways)
-
     async def add_server(self, cold: bool) -> FontServer:
         """A new server, warm or just started."""
         name = f"s-{len(self.servers) + len(self.ended_servers):04d}"
