Log each end with ids and states, and move attempts at their write into attempts.py

Of each kind of end one line a second is logged, with request, connection, attempt, server and the state before; all are counted.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -81,7 +81,8 @@
         self.server = server
         self.unread_for = waited  # s for which what is read next may have lain there, for a reason known here
         self.number = next(server.numbers)
-        self.state, self.reason = ClientState.OPEN, CloseReason.CLIENT_LEFT
+        self.state = self.before_end = ClientState.OPEN  # before_end: the state before this one
+        self.reason = CloseReason.CLIENT_LEFT
         self.framing = Framing()
         self.pending: deque[Slot] = deque()
         self.partial = self.dropped = 0  # bytes of half a command; those behind lost framing
@@ -105,6 +106,7 @@
         """Changes its state; the first reason to leave OPEN is the one that is told."""
         if reason is not None and self.state is ClientState.OPEN:
             self.reason = reason
+        self.before_end = self.state
         self.state = change(self.state, state, self.number)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -369,7 +371,8 @@
         if client.reason in (CloseReason.CLIENT_LEFT, CloseReason.IDLE, CloseReason.SHUTTING_DOWN):
             self.events.note(Kind.CLIENT_CLOSED, client.reason.value)
         else:
-            self.events.tell(Kind.CLIENT_CLOSED, client.reason.value, connection=client.number)
+            ids = {"connection": client.number, "state": client.before_end.value}
+            self.events.tell(Kind.CLIENT_CLOSED, client.reason.value, **ids)
         self.clients.discard(client)
         self.hold(client, 0)
         self.unread.discard(client)
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -9,6 +9,7 @@
 from contextlib import aclosing
 
 from calicomast.net.http import HttpConnection, StatusError
+from calicomast.net.lifecycle import CallState, change
 from calicomast.net.listing import Address, Entry, Listing, ListReader
 
 # What discovery has and would give counts as told 6 s later, whatever became of the calls made till then. So
@@ -33,10 +34,15 @@
 
     def __init__(self, number: int, now: float, longest: float) -> None:
         self.number, self.began, self.longest = number, now, longest
+        self.state = CallState.ASKED
         self.moved_at = now  # when it last got on: an answer began, came in or was taken over
         self.size = 0  # bytes of its answer so far
         self.task: asyncio.Task[bool] | None = None
 
+    def become(self, state: CallState) -> None:
+        """Changes its state."""
+        self.state = change(self.state, state, self.number)
+
     def moved(self, now: float) -> None:
         """It got on, which keeps other calls from being made for `longest` seconds."""
         if now - self.began < self.longest:
@@ -134,6 +140,7 @@
                 return 0  # overtaken by one that began after it
             if call.number > self.heard and listing.mode == "delta" and version < self.version:
                 raise ValueError("changes to an older list than the last")  # they may bring back what is gone
+            call.become(CallState.APPLYING)
             for _ in self.told(listing) or ():
                 await self.let_others_run(call)
             self.version, self.held, self.heard = version, True, self.began
@@ -163,11 +170,17 @@
         call = Call(self.began, loop.time(), wait + LONGEST_ANSWER)
         task = call.task = loop.create_task(self.attempt(call, params, wait + TOLD))
         self.calls[task] = call
-        task.add_done_callback(lambda _: self.calls.pop(task, None))
+        task.add_done_callback(self.ended)
         if len(self.calls) > MOST_OPEN:
             next(iter(self.calls)).cancel()
         return call
 
+    def ended(self, task: asyncio.Task[bool]) -> None:
+        """A call is over, however it ended."""
+        call = self.calls.pop(task, None)
+        if call is not None:
+            call.become(CallState.ENDED)
+
     async def answered(self, call: Call, patience: float) -> bool:
         """Waits for a call to end, or for so many seconds in which it does not get on; whether it ended."""
         assert call.task is not None
--- a/calicomast/net/events.py
+++ b/calicomast/net/events.py
@@ -1,8 +1,8 @@
 """Counts of what ended and why, and a log line for some of them.
 
 Every end is counted under its kind and reason: a connection that was closed, an attempt that was given up, a
-request that was refused. Lines are for trouble only and few a second, as CPU is rationed; the counts beside
-them miss nothing. They are printed when the process ends and on SIGUSR1.
+request that was refused. Of each kind one line a second is logged, as CPU is rationed; the counts beside them
+miss nothing. They are printed when the process ends and on SIGUSR1.
 """
 
 from __future__ import annotations
@@ -15,8 +15,6 @@
 
 from calicomast.net.invariants import MONITOR
 
-MOST_LINES = 3  # in a second
-
 log = logging.getLogger(__name__)
 
 
@@ -39,20 +37,18 @@
 
     def __init__(self) -> None:
         self.counts: Counter[tuple[Kind, str]] = Counter()
-        self._second, self._left = 0, MOST_LINES
+        self._logged: dict[Kind, int] = {}  # in which second the last line of a kind was
 
-    def note(self, kind: Kind, reason: str, **ids: object) -> None:
+    def note(self, kind: Kind, reason: str) -> None:
         """Counts an end without a line."""
         self.counts[kind, reason] += 1
 
     def tell(self, kind: Kind, reason: str, **ids: object) -> None:
-        """Counts an end and logs it with its ids, if few were logged in this second."""
+        """Counts an end, and logs it with its ids if no other of its kind was logged in this second."""
         self.counts[kind, reason] += 1
         second = int(monotonic())
-        if second != self._second:
-            self._second, self._left = second, MOST_LINES
-        self._left -= 1
-        if self._left >= 0:
+        if self._logged.get(kind) != second:
+            self._logged[kind] = second
             told = " ".join(f"{name}={value}" for name, value in ids.items())
             log.info("event=%s reason=%s %s", kind.value, reason.replace(" ", "-"), told)
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 
 from calicomast import interface as api
+from calicomast.net.attempts import AttemptControl
 from calicomast.net.clients import FAILED, ClientServer, Slot
 from calicomast.net.clock import Clock
 from calicomast.net.config import Config
@@ -22,18 +23,14 @@
 from calicomast.net.discovery import Discovery
 from calicomast.net.events import EventLog, Kind
 from calicomast.net.hosts import Attempt, Hosts
-from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.lifecycle import ProcessState, RequestState, change
 from calicomast.net.listing import Listing
-from calicomast.net.requests import BadRequest, Work, bulk, check_form, read_request, time_field
+from calicomast.net.requests import BadRequest, Work, bulk, check_form, read_request
 from calicomast.net.server_table import ServerTable
 from calicomast.policy import Gateway
 from calicomast.rules import (
-    HOLD_UP,
-    AttemptFacts,
     Verdict,
     may_take_request,
-    may_write_attempt,
 )
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
@@ -81,6 +78,13 @@
         self.clients = ClientServer(self, room // 2, self.most_held, self.log)
         self.servers = ServerTable(self.feed, lambda server: self.hosts.stop(server), self.clock.started)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2, self.servers.address)
+        self.control = AttemptControl(
+            config.settings,
+            self.clock,
+            self.servers.address,
+            lambda *told: self.module.admits_late(*told),
+            self.log,
+        )
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.most_list = list_bound(config.memory)
         self.sources = 0  # discoveries that were named one after another
@@ -192,7 +196,7 @@
     def abandon(self, work: Work, reason: str) -> None:
         """Fails a request by itself and lets the module forget it."""
         if not work.over:
-            self.log.tell(Kind.REQUEST_FAILED, reason, id=work.id, connection=work.slot.client.number)
+            self.tell_end(Kind.REQUEST_FAILED, reason, work)
         self.finish(work, FAILED)
         for attempt in list(work.live.values()):
             self.hosts.give_up(attempt, "cancelled")
@@ -294,17 +298,23 @@
             work.become(RequestState.FORGOTTEN)
             self.held -= len(work.command[-1])
 
+    def tell_end(self, kind: Kind, reason: str, work: Work) -> None:
+        """Notes why a request is given up."""
+        client = work.slot.client
+        ids = {"id": work.id, "connection": client.number, "state": client.state.value}
+        self.log.tell(kind, reason, **ids, attempts=work.begun)
+
     # Actions
 
     def refuse(self, action: api.Refuse) -> None:
         if action.id in self.works:
-            self.log.note(Kind.REQUEST_REFUSED, action.reason)
+            self.tell_end(Kind.REQUEST_REFUSED, action.reason, self.works[action.id])
             wait = math.ceil(action.retry_after * 1000)
             self.finish(self.works[action.id], b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
 
     def fail(self, action: api.Fail) -> None:
         if action.id in self.works:
-            self.log.note(Kind.REQUEST_FAILED, action.reason)
+            self.tell_end(Kind.REQUEST_FAILED, action.reason, self.works[action.id])
             self.finish(self.works[action.id], FAILED)
 
     def send(self, action: api.Send) -> None:
@@ -315,9 +325,8 @@
         work.sends += 1
         attempt = Attempt(action.host, self.begin, self.attempt_done, (work, number))
         attempt.repeat_until, attempt.cold = action.repeat_until, action.cold
-        verdict = self.judge(attempt, late=False)
+        verdict = self.control.judge(attempt, late=False)
         if verdict is not Verdict.ALLOWED:
-            self.not_written(attempt, verdict)
             if verdict is Verdict.CLIENT_GONE:
                 self.finish(work, b"")
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, work.over))
@@ -328,70 +337,25 @@
         self.hosts.send(attempt, min(left, action.timeout) if action.timeout > 0 else left)
         attempt.judged = False
 
-    def judge(self, attempt: Attempt, late: bool) -> Verdict:
-        """Whether an attempt may be written now. `late`: its connection came up only now."""
-        work, number = attempt.tag
-        now = self.clock()
-        return may_write_attempt(
-            AttemptFacts(
-                finished=work.over,
-                client_gone=not work.over and work.slot.client.has_left(),
-                left=work.deadline - time.monotonic(),
-                repeat_left=attempt.repeat_until - now,
-                begun=work.begun,
-                most_attempts=self.settings.limits.max_attempts,
-                others_out=len(work.live) - (number in work.live),
-                second_copies=self.settings.limits.second_copies,
-                server_listed=self.servers.address(attempt.host) is not None,
-                start_budget=not (late and attempt.cold)
-                or self.module.admits_late(now, work.id, number, attempt.host),
-            )
-        )
-
     def begin(self, attempt: Attempt) -> bytes | None:
         """What goes to the server, worked out as its connection is there to be written to; None if it may not
         be sent any more."""
         work, _ = attempt.tag
         if not attempt.judged:
-            verdict = self.judge(attempt, late=True)
+            verdict = self.control.judge(attempt, late=True)
             if verdict is not Verdict.ALLOWED:
-                self.not_written(attempt, verdict)
                 if verdict is Verdict.CLIENT_GONE:
                     self.gone(work.slot)
                 return None
-        work.begun += 1
-        left = work.deadline - time.monotonic()
-        payload = work.payload(left)
-        self.check_written(attempt, payload, left)
-        return payload
-
-    def not_written(self, attempt: Attempt, verdict: Verdict) -> None:
-        work, number = attempt.tag
-        self.log.tell(
-            Kind.ATTEMPT_NOT_WRITTEN, verdict.value, id=work.id, attempt=number, server=attempt.host
-        )
-
-    def check_written(self, attempt: Attempt, payload: bytes, left: float) -> None:
-        """The rules once more, from what goes on the wire; `left`: seconds until the module's deadline."""
-        work, number = attempt.tag
-        detail = f"request {work.id} attempt {number} server {attempt.host}"
-        terms = payload.split(b"\r\n", 9)[8]
-        start, end = time_field(terms)
-        told = int(terms[start:end]) / 1000
-        MONITOR.check(told <= max(left, 0.0) + WAY_BACK, Invariant.DEADLINE_TOLD, f"{detail} {told} {left}")
-        MONITOR.check(not work.over, Invariant.ATTEMPT_AFTER_ANSWER, detail)
-        MONITOR.check(work.begun <= self.settings.limits.max_attempts, Invariant.ATTEMPT_LIMIT, detail)
-        second = self.settings.limits.second_copies or len(work.live) <= 1
-        MONITOR.check(second, Invariant.SECOND_ATTEMPT, detail)
-        MONITOR.check(self.clock() <= attempt.repeat_until + HOLD_UP, Invariant.REPEAT_WINDOW, detail)
-        MONITOR.check(attempt.host in self.servers.entries, Invariant.SERVER_GONE, detail)
+        return self.control.write(attempt)
 
     def attempt_done(self, attempt: Attempt) -> None:
         work, number = attempt.tag
         result, over = attempt.result, work.over
         del work.live[number]
         if result != "ok":
-            self.log.note(Kind.ATTEMPT_ENDED, result)
+            ids = {"id": work.id, "attempt": number, "server": attempt.host, "state": work.state.value}
+            self.log.tell(Kind.ATTEMPT_ENDED, result, **ids)
         if over and (result == "connect_failed" or result in api.NEVER_BEGAN):
             result = "moot"  # called off before it was sent, which says nothing of the host
         elif result == "ok" and not over:
