--- a/emulator/soak/judges.py
+++ b/emulator/soak/judges.py
@@ -33,6 +33,7 @@
 GROWTH_KB, SETTLED = 12_000, 5.0  # memory that may come on after so many seconds
 FEW_SENT = 30  # below it a cold server's budget has the wider margin
 SPARE_DESCRIPTORS = 4
+DISCOVERY_TROUBLES = ("discovery-", "watch-", "reload", "restart", "kill")
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +192,33 @@
             )
 
 
+def told_at_latest(record: Record, at: float) -> float:
+    """When a change that discovery had then counts as told: 6 s after it could be reached for so long."""
+    names = DISCOVERY_TROUBLES
+    for trouble in sorted(record.troubles, key=lambda trouble: trouble.began):
+        if trouble.name.startswith(names) and trouble.began <= at + TOLD_AT_LATEST and trouble.ended > at:
+            at = trouble.ended
+    return at + TOLD_AT_LATEST
+
+
+def changes_are_heard(record: Record) -> Iterator[Violation]:
+    """Nothing is sent to a server after the grace once its drain or removal counts as told to everyone."""
+    gone: dict[str, float] = {}
+    for changed in record.changed:
+        if changed.state == "up":
+            gone.pop(changed.server, None)
+        else:
+            gone.setdefault(changed.server, told_at_latest(record, changed.at))
+    by_id = effects(record)
+    for each in record.began_at_servers:
+        asked, at = by_id.get(each.id), gone.get(each.server, math.inf)
+        if asked is not None and each.at > at + GRACE + tolerance(record, at, each.at):
+            told = f"{about(asked)} server {each.server}"
+            yield Violation(
+                "changes_are_heard", each.at, f"{told}: {each.at - at:.3f} s after it counts as told"
+            )
+
+
 def cold_servers_stand(record: Record) -> Iterator[Violation]:
     """All gateways together send a cold server no more than it bears."""
     for started in record.started:
@@ -292,6 +320,7 @@
     nothing_after_answer,
     deadline_told,
     drained_servers_rest,
+    changes_are_heard,
     cold_servers_stand,
     quotas_hold,
     bad_clients_are_answered,
@@ -306,6 +335,3 @@
     """All violations, in the order of time."""
     found = [violation for each in JUDGES for violation in each(record)]
     return sorted(found, key=lambda violation: violation.at)
-
-
-__all__ = ["JUDGES", "TOLD_AT_LATEST", "Violation", "judge"]
--- a/emulator/soak/record.py
+++ b/emulator/soak/record.py
@@ -71,6 +71,15 @@
     at: float
 
 
+@dataclass(slots=True)
+class Changed:
+    """Discovery had a change of a server's state, whoever was told."""
+
+    server: str
+    state: str
+    at: float
+
+
 @dataclass(slots=True)
 class Started:
     """A server started cold."""
@@ -132,6 +141,7 @@
     asked: list[Asked] = field(default_factory=list)
     began_at_servers: list[Began] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
+    changed: list[Changed] = field(default_factory=list)
     started: list[Started] = field(default_factory=list)
     bad_clients: list[BadClient] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
--- a/emulator/soak/sabotage.py
+++ b/emulator/soak/sabotage.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from calicomast import admission, quota, servers
-from calicomast.net import clients, gateway, hosts, invariants, program, requests, server_table
+from calicomast.net import clients, discovery, gateway, hosts, invariants, program, requests, server_table
 from calicomast.net.__main__ import Hangups
 
 LATE = 0.4  # seconds by which an attempt is held back where its client may have left
@@ -127,6 +127,11 @@
     server_table.ServerTable.take = deaf  # type: ignore[method-assign]
 
 
+def changes_are_heard() -> None:
+    """Discovery is never asked."""
+    discovery.Discovery.watch = lambda self, on: None  # type: ignore[method-assign]
+
+
 def cold_servers_stand() -> None:
     """The server that started last gets all requests at once."""
     admission.ColdAdmission.left = lambda *told: 1e9  # type: ignore[method-assign]
@@ -180,6 +185,7 @@
         nothing_after_answer,
         deadline_told,
         drained_servers_rest,
+        changes_are_heard,
         cold_servers_stand,
         quotas_hold,
         bad_clients_are_answered,
--- a/emulator/soak/world.py
+++ b/emulator/soak/world.py
@@ -10,7 +10,7 @@
 
 from emulator.soak.clients import Crowd, Front
 from emulator.soak.fleet import SoakGateway
-from emulator.soak.record import Record
+from emulator.soak.record import Changed, Record
 from emulator.soak.shape import SLOTS, WORK
 from emulator.soak.standins import Agent, FontServer, SoakCounter, SoakList, started_now
 
@@ -79,6 +79,7 @@
     def change_state(self, server: FontServer, state: str) -> None:
         """Discovery hears of it."""
         server.state = state
+        self.record.changed.append(Changed(server.name, state, time.monotonic()))
         self.listed.change(server.entry())
 
     def remove(self, server: FontServer) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,7 +34,7 @@
     names = [name for name in BREAKS if name not in TOGETHER]
     troubles = ("server-errs", "server-hangs", "drain", "leave", "bad-clients")
     options = SoakOptions(
-        seed=1, gateways=len(names), seconds=6.0, troubles=troubles, overlap=5, broken=tuple(names)
+        seed=1, gateways=len(names), seconds=10.0, troubles=troubles, overlap=5, broken=tuple(names)
     )
     violations = play(options).violations
     for index, name in enumerate(names):
