--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,6 +5,7 @@
 import errno
 import json
 import os
+import resource
 import subprocess
 import time
 from pathlib import Path
@@ -152,3 +153,23 @@
         assert await gateway.ask(b"r1") == SERVED
     finally:
         await gateway.__aexit__()
+
+
+@on_loop
+async def test_requests_wait_while_the_process_is_out_of_descriptors(shim, tmp_path):
+    """The real thing: the system's limit, not the shim."""
+    async with FaultyGateway(shim, tmp_path) as gateway:
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        writer.write(command(b"first"))
+        assert await read_reply(reader) == SERVED
+        pid, (soft, hard) = gateway.program.pid, resource.prlimit(gateway.program.pid, resource.RLIMIT_NOFILE)
+        gateway.host.writers.pop().close()  # the next attempt has to connect
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+        waiting = [asyncio.create_task(gateway.ask(b"w%d" % n)) for n in range(5)]  # at the listener
+        writer.write(command(b"second"))  # has no connection to its server
+        await asyncio.sleep(0.3)
+        assert not any(task.done() for task in waiting)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (soft, hard))
+        assert await asyncio.gather(*waiting) == [SERVED] * 5
+        assert await read_reply(reader) == SERVED
+        writer.close()
