--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Callable
 from time import monotonic
 
@@ -13,17 +15,17 @@
 from calicomast.net.events import EventLog, Kind
 from calicomast.net.hosts import Attempt
 from calicomast.net.invariants import MONITOR, Invariant
-from calicomast.net.listing import Address
-from calicomast.net.requests import Work, time_field
+from calicomast.net.requests import Work
 from calicomast.rules import HOLD_UP, AttemptFacts, Verdict, may_write_attempt
 
-TERMS_LINE = 8  # of a command on the wire, counted from 0: its terms
+TIME_TOLD = re.compile(rb"[\n,]d=([0-9]+)")  # in a command on the wire
+MOST_TOLD = 200  # bytes of a command in a message
 MILLISECONDS = 1000  # in a second
 
 
 class AttemptControl:
     """Args:
-    address: where a server listens now; None where nothing is to be sent to it.
+    listed: whether a server is one that requests may be sent to now.
     admits_late: whether an attempt (clock time, request, number, server) may still be written to a server in
         slow start though its connection came up late.
     """
@@ -32,30 +34,29 @@
         self,
         settings: api.Settings,
         clock: Clock,
-        address: Callable[[str], Address | None],
+        listed: Callable[[str], bool],
         admits_late: Callable[[float, str, int, str], bool],
         events: EventLog,
     ) -> None:
-        self._limits, self._clock, self._address = settings.limits, clock, address
+        self._limits, self._clock, self._listed = settings.limits, clock, listed
         self._admits_late, self._events = admits_late, events
 
     def judge(self, attempt: Attempt, late: bool) -> Verdict:
         """Whether an attempt may be written now. `late`: its connection came up only now."""
         work, number = attempt.tag
-        now = self._clock()
         verdict = may_write_attempt(
             AttemptFacts(
                 finished=work.over,
                 client_gone=not work.over and work.slot.client.has_left(),
                 left=work.deadline - monotonic(),
-                repeat_left=attempt.repeat_until - now,
+                repeat_left=attempt.repeat_until - self._clock(),
                 begun=work.begun,
                 most_attempts=self._limits.max_attempts,
                 others_out=len(work.live) - (number in work.live),
                 second_copies=self._limits.second_copies,
-                server_listed=self._address(attempt.host) is not None,
+                server_listed=self._listed(attempt.host),
                 start_budget=not (late and attempt.cold)
-                or self._admits_late(now, work.id, number, attempt.host),
+                or self._admits_late(self._clock(), work.id, number, attempt.host),
             )
         )
         if verdict is not Verdict.ALLOWED:
@@ -74,14 +75,27 @@
 
     def _check(self, attempt: Attempt, work: Work, payload: bytes, left: float) -> None:
         """The rules once more, from what goes on the wire; `left`: seconds until the module's deadline."""
-        detail = f"request {work.id} attempt {attempt.tag[1]} server {attempt.host}"
-        terms = payload.split(b"\r\n", TERMS_LINE + 1)[TERMS_LINE]
-        start, end = time_field(terms)
-        told = int(terms[start:end]) / MILLISECONDS
-        limits = self._limits
-        MONITOR.check(told <= max(left, 0.0) + HOLD_UP, Invariant.DEADLINE_TOLD, f"{detail} {told} {left}")
-        MONITOR.check(not work.over, Invariant.ATTEMPT_AFTER_ANSWER, detail)
-        MONITOR.check(work.begun <= limits.max_attempts, Invariant.ATTEMPT_LIMIT, detail)
-        MONITOR.check(limits.second_copies or len(work.live) <= 1, Invariant.SECOND_ATTEMPT, detail)
-        MONITOR.check(self._clock() <= attempt.repeat_until + HOLD_UP, Invariant.REPEAT_WINDOW, detail)
-        MONITOR.check(self._address(attempt.host) is not None, Invariant.SERVER_GONE, detail)
+        broken = self._broken(attempt, work, payload, left)
+        if broken is not None:
+            told = payload[:MOST_TOLD]
+            detail = (
+                f"request {work.id} attempt {attempt.tag[1]} server {attempt.host} left {left:.3f} {told!r}"
+            )
+            MONITOR.violated(broken, detail)
+
+    def _broken(self, attempt: Attempt, work: Work, payload: bytes, left: float) -> Invariant | None:
+        """The invariant that does not hold, if one does not."""
+        limits, told = self._limits, TIME_TOLD.search(payload)
+        if told is None or int(told[1]) / MILLISECONDS > max(left, 0.0) + HOLD_UP:
+            return Invariant.DEADLINE_TOLD
+        if work.over:
+            return Invariant.ATTEMPT_AFTER_ANSWER
+        if work.begun > limits.max_attempts:
+            return Invariant.ATTEMPT_LIMIT
+        if len(work.live) > 1 and not limits.second_copies:
+            return Invariant.SECOND_ATTEMPT
+        if attempt.repeat_until < math.inf and self._clock() > attempt.repeat_until + HOLD_UP:
+            return Invariant.REPEAT_WINDOW
+        if not self._listed(attempt.host):
+            return Invariant.SERVER_GONE
+        return None
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -79,11 +79,7 @@
         self.servers = ServerTable(self.feed, lambda server: self.hosts.stop(server), self.clock.started)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2, self.servers.address)
         self.control = AttemptControl(
-            config.settings,
-            self.clock,
-            self.servers.address,
-            lambda *told: self.module.admits_late(*told),
-            self.log,
+            config.settings, self.clock, self.servers.listed, self.admits_late, self.log
         )
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.most_list = list_bound(config.memory)
@@ -337,6 +333,10 @@
         self.hosts.send(attempt, min(left, action.timeout) if action.timeout > 0 else left)
         attempt.judged = False
 
+    def admits_late(self, now: float, id: str, number: int, server: str) -> bool:
+        """Asks the module about an attempt at a cold server whose connection came up late."""
+        return self.module.admits_late(now, id, number, server)
+
     def begin(self, attempt: Attempt) -> bytes | None:
         """What goes to the server, worked out as its connection is there to be written to; None if it may not
         be sent any more."""
--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -48,6 +48,11 @@
             return None
         return read_address(entry.address)
 
+    def listed(self, server: str) -> bool:
+        """Whether a server is one that requests may be sent to."""
+        entry = self.entries.get(server)
+        return entry is not None and entry.host.state == "up" and bool(entry.address)
+
     def any_to_send_to(self) -> bool:
         """Whether there is a server that requests may be sent to."""
         return any(entry.address and entry.host.state == "up" for entry in self.entries.values())
