--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -124,7 +124,13 @@
         writer.close()
 
 
-CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENFILE)
+CONNECT_ERRORS = (
+    errno.EADDRNOTAVAIL,
+    errno.ECONNABORTED,
+    errno.ENETUNREACH,
+    errno.ENOBUFS,
+    errno.ENFILE,
+)
 
 
 @on_loop
