--- a/calicomast/net/own_trouble.py
+++ b/calicomast/net/own_trouble.py
@@ -11,6 +11,7 @@
     (
         errno.EADDRNOTAVAIL,
         errno.EAGAIN,
+        errno.ECONNABORTED,
         errno.EINTR,
         errno.EMFILE,
         errno.ENETDOWN,
