--- a/emulator/soak/clients.py
+++ b/emulator/soak/clients.py
@@ -21,6 +21,8 @@
 BAD_WITHIN = 3.0  # seconds in which a bad client is owed an error or a close
 SPARE = 1.5  # seconds for which it is watched beyond that
 CONNECT_WITHIN = 1.0  # seconds
+SHORT_BODY, LONG_BODY, LONG_PART = 20, 40_000, 0.04  # bytes; part of the bodies that are long
+MOST_PRESSED = 200  # commands on a connection that is pressed
 CUSTOMERS = 40
 RESET = struct.pack("ii", 1, 0)
 BUSY_FRACTION = 0.3  # part of the customers who ask beyond their quota now and then
@@ -143,7 +145,7 @@
         )
         read = shape.effect.value == "safe"
         parts = ["API.READ" if read else "API.WRITE", f"{customer:016x}", request, terms]
-        parts += [] if read else ["BODY"]
+        parts += [] if read else ["B" * (LONG_BODY if self.generator.random() < LONG_PART else SHORT_BODY)]
         return (f"*{len(parts)}\r\n" + "".join(f"${len(p)}\r\n{p}\r\n" for p in parts)).encode()
 
     async def connection(self, gateway: int) -> Connection | None:
@@ -259,6 +261,19 @@
         if connection.usable:
             connection.writer.close()
 
+    async def press(self, gateway: int, every: float) -> None:
+        """Sends on one connection to a gateway for as long as that is open, whatever the gateway is told."""
+        connection = await self.new_connection(gateway)
+        written: list[tuple[Asked, ClassShape, int]] = []
+        while connection is not None and connection.usable and len(written) < MOST_PRESSED:
+            shape, customer = self.generator.choice(CLASSES), self.generator.randrange(CUSTOMERS)
+            written.append((await self.write(connection, shape, customer), shape, customer))
+            await asyncio.sleep(every)
+        for asked, shape, customer in written:
+            await self.wait(connection, asked)
+            if asked.ending is Ending.CLOSED and self.crossed(asked):
+                await self.once_more(asked, shape, customer)
+
     async def rest_and_cross(self) -> None:
         """Rests until the gateway is about to close the connection, and asks just then."""
         gateway = self.front.pick(self.generator.randrange(len(self.front.ports)), self.generator)
--- a/emulator/soak/troubles.py
+++ b/emulator/soak/troubles.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from emulator.soak.fleet import SoakGateway
 from emulator.soak.link import Fault
 from emulator.soak.standins import FontServer, Manner, started_now
 from emulator.soak.world import World
@@ -17,6 +18,7 @@
 STEPS = (3600.0, -3600.0, 5.0, -5.0)  # seconds by which a wall clock is stepped
 ACCEPT_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED)
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
+PRESSES = (0.04, 0.02, 0.3)  # seconds between the commands of clients that send on through a restart
 SYSTEM_LASTS = 0.5  # seconds for which system calls fail at a time
 
 Play = Callable[[World, random.Random, float], Awaitable[str]]
@@ -28,7 +30,7 @@
     return generator.sample(up, max(1, int(PART_OF_SERVERS * len(up))))
 
 
-def some_gateways(world: World, generator: random.Random) -> list:
+def some_gateways(world: World, generator: random.Random) -> list[SoakGateway]:
     """A part of the gateways that run."""
     running = [gateway for gateway in world.gateways if gateway.ready]
     return generator.sample(running, min(len(running), max(1, int(PART_OF_GATEWAYS * len(running)))))
@@ -143,15 +145,18 @@
     """Planned restarts, some of them with a second SIGTERM or a SIGHUP on the way."""
     gateways = some_gateways(world, generator)
 
-    async def one(gateway: object) -> None:
-        ending = asyncio.get_running_loop().create_task(gateway.terminate())  # type: ignore[attr-defined]
+    async def one(gateway: SoakGateway) -> None:
+        for every in PRESSES:
+            world.crowd.spawn(world.crowd.press(gateway.index, every))
+        await asyncio.sleep(PRESSES[0])
+        ending = asyncio.get_running_loop().create_task(gateway.terminate())
         await asyncio.sleep(generator.random() * 0.3)
         if generator.random() < 0.3:
-            gateway.signal(signal.SIGTERM)  # type: ignore[attr-defined]
+            gateway.signal(signal.SIGTERM)
         if generator.random() < 0.3:
-            gateway.signal(signal.SIGHUP)  # type: ignore[attr-defined]
+            gateway.signal(signal.SIGHUP)
         await ending
-        await gateway.start(world.counter, world.listed)  # type: ignore[attr-defined]
+        await gateway.start(world.counter, world.listed)
 
     await asyncio.gather(*(one(gateway) for gateway in gateways))
     return ",".join(str(gateway.index) for gateway in gateways)
@@ -213,7 +218,7 @@
     """Reads and writes move a few bytes at a time, and some end with EINTR."""
     gateways = some_gateways(world, generator)
     for gateway in gateways:
-        gateway.faults.cut_transfers(generator.choice((11, 40)))
+        gateway.faults.cut_transfers(generator.choice((100, 1000)))
         gateway.faults.interrupt(every=20)
     await asyncio.sleep(seconds)
     for gateway in gateways:
