--- a/emulator/soak/fleet.py
+++ b/emulator/soak/fleet.py
@@ -30,13 +30,18 @@
 SABOTAGE = "emulator.soak.sabotage"
 
 
-def port_for_gateway() -> int:
-    """A port that the system hands to nobody else while no process listens on it."""
+def reserve_port() -> socket.socket:
+    """A socket bound to a port that nobody else is bound to, nor the system hands out. A gateway may listen
+    on it meanwhile, as both ask for SO_REUSEADDR; other soaks pass it over."""
     while True:
         port = next(PORTS)
-        with contextlib.suppress(OSError), socket.socket() as sock:
-            sock.bind(("127.0.0.1", port))
-            return port
+        with contextlib.suppress(OSError):
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))  # fails where another one is bound, reserved or not
+            reserved = socket.socket()
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            reserved.bind(("127.0.0.1", port))
+            return reserved
 
 
 class SoakGateway:
@@ -56,13 +61,15 @@
         self.folder = folder / f"gateway-{index}"
         self.folder.mkdir()
         self.faults = Faults(shim, self.folder / "faults")
-        self.port = port_for_gateway()
+        self.reserved = reserve_port()
+        self.port = self.reserved.getsockname()[1]
         self.command = run_command() if broken is None else [sys.executable, "-m", SABOTAGE, broken]
         self.lives = 0
         self.address = 0  # which of the two addresses of discovery and counter it is told
         self.process: asyncio.subprocess.Process | None = None
         self.life: Life
         self.ready = False
+        self.changing = False  # one trouble is just ending it and starting it again
 
     def configuration(self, counter: SoakCounter, listed: SoakList) -> dict[str, Any]:
         """What it is told at its start."""
--- a/emulator/soak/troubles.py
+++ b/emulator/soak/troubles.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from emulator.soak.fleet import SoakGateway
 from emulator.soak.link import Fault
@@ -36,6 +37,19 @@
     return generator.sample(running, min(len(running), max(1, int(PART_OF_GATEWAYS * len(running)))))
 
 
+@contextlib.contextmanager
+def for_restart(world: World, generator: random.Random) -> Iterator[list[SoakGateway]]:
+    """A part of the gateways, which no other trouble ends or starts meanwhile."""
+    gateways = [gateway for gateway in some_gateways(world, generator) if not gateway.changing]
+    for gateway in gateways:
+        gateway.changing = True
+    try:
+        yield gateways
+    finally:
+        for gateway in gateways:
+            gateway.changing = False
+
+
 def server_manner(manner: Manner) -> Play:
     """Some servers behave so for a while."""
 
@@ -141,33 +155,34 @@
     return ",".join(str(gateway.index) for gateway in gateways)
 
 
-async def restart(world: World, generator: random.Random, seconds: float) -> str:
-    """Planned restarts, some of them with a second SIGTERM or a SIGHUP on the way."""
-    gateways = some_gateways(world, generator)
+async def restart_one(world: World, generator: random.Random, gateway: SoakGateway) -> None:
+    """One planned restart, while some clients send on."""
+    for every in PRESSES:
+        world.crowd.spawn(world.crowd.press(gateway.index, every))
+    await asyncio.sleep(PRESSES[0])
+    ending = asyncio.get_running_loop().create_task(gateway.terminate())
+    await asyncio.sleep(generator.random() * 0.3)
+    if generator.random() < 0.3:
+        gateway.signal(signal.SIGTERM)
+    if generator.random() < 0.3:
+        gateway.signal(signal.SIGHUP)
+    await ending
+    await gateway.start(world.counter, world.listed)
 
-    async def one(gateway: SoakGateway) -> None:
-        for every in PRESSES:
-            world.crowd.spawn(world.crowd.press(gateway.index, every))
-        await asyncio.sleep(PRESSES[0])
-        ending = asyncio.get_running_loop().create_task(gateway.terminate())
-        await asyncio.sleep(generator.random() * 0.3)
-        if generator.random() < 0.3:
-            gateway.signal(signal.SIGTERM)
-        if generator.random() < 0.3:
-            gateway.signal(signal.SIGHUP)
-        await ending
-        await gateway.start(world.counter, world.listed)
 
-    await asyncio.gather(*(one(gateway) for gateway in gateways))
+async def restart(world: World, generator: random.Random, seconds: float) -> str:
+    """Planned restarts, some of them with a second SIGTERM or a SIGHUP on the way."""
+    with for_restart(world, generator) as gateways:
+        await asyncio.gather(*(restart_one(world, generator, gateway) for gateway in gateways))
     return ",".join(str(gateway.index) for gateway in gateways)
 
 
 async def kill(world: World, generator: random.Random, seconds: float) -> str:
     """Gateways are killed at once and start again."""
-    gateways = some_gateways(world, generator)
-    await asyncio.gather(*(gateway.kill() for gateway in gateways))
-    await asyncio.sleep(0.2)
-    await asyncio.gather(*(gateway.start(world.counter, world.listed) for gateway in gateways))
+    with for_restart(world, generator) as gateways:
+        await asyncio.gather(*(gateway.kill() for gateway in gateways))
+        await asyncio.sleep(0.2)
+        await asyncio.gather(*(gateway.start(world.counter, world.listed) for gateway in gateways))
     return ",".join(str(gateway.index) for gateway in gateways)
 
 
--- a/emulator/soak/world.py
+++ b/emulator/soak/world.py
@@ -123,6 +123,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     gateway.process.kill()
             gateway.agent.close()
+            gateway.reserved.close()
         for server in [*self.servers, *self.ended_servers]:
             server.close()
         self.crowd.close()
