--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -525,3 +525,17 @@
             node.node.finish(work, SERVED)
         assert [await read_reply(reader) for _ in range(clients.MOST_PENDING + 1)][-1] == SERVED
         assert time_told(host) <= 3000 - 1000 * waited + 150
+
+
+@on_loop
+async def test_the_time_of_an_idle_client_begins_with_its_connecting_though_accept_failed(tmp_path):
+    """A client that says nothing is owed its close within 3 s of connecting."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        server = node.node.clients
+        before = time.monotonic()
+        server.listener._failing_since = before - 1.0  # accept has failed for a second
+        await node.connect()
+        while not server.idle:
+            await asyncio.sleep(0)
+        (since,) = server.idle.values()
+        assert since < before
