--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -344,7 +344,7 @@
             if len(self.away) > MOST_AWAY:
                 next(iter(self.away)).drop(CloseReason.TOO_MANY_CONNECTIONS)
             return
-        self.rest(client)
+        self.idle[client] = monotonic() - client.unread_for  # it is owed its close from its connecting on
 
     def make_room(self) -> bool:
         """Lets a connection go that is ending anyhow, else the one that is idle for longest; none on which an
