--- a/emulator/real/standins.py
+++ b/emulator/real/standins.py
@@ -131,10 +131,16 @@
         return json.dumps(told, separators=(",", ":")).encode()
 
 
+def http_answer(body: bytes) -> bytes:
+    """A whole answer of discovery."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
+    return head + body
+
+
 class DiscoveryProtocol(asyncio.Protocol):
-    """HTTP/1.1, one GET at a time."""
+    """HTTP/1.1, one GET at a time. `service` gives the bodies, see ListService.answer."""
 
-    def __init__(self, service: ListService) -> None:
+    def __init__(self, service: Any) -> None:
         self.service, self.parser, self.target = service, HttpRequestParser(self), ""
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
@@ -161,8 +167,7 @@
         """Answers one call."""
         assert self.transport is not None
         body = await self.service.answer(dict(parse_qsl(urlsplit(target).query)))
-        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
-        self.transport.write(head + body)
+        self.transport.write(http_answer(body))
 
 
 class StandIns:
--- a/emulator/soak/standins.py
+++ b/emulator/soak/standins.py
@@ -13,9 +13,8 @@
 from urllib.parse import parse_qsl, urlsplit
 
 import hiredis
-from httptools import HttpRequestParser
 
-from emulator.real.standins import CounterProtocol, StandInTally
+from emulator.real.standins import CounterProtocol, DiscoveryProtocol, StandInTally, http_answer
 from emulator.soak.link import Fault, Link
 from emulator.soak.record import Began, Record, Started, Told
 from emulator.soak.shape import SLOTS, TOLD_AT_LATEST, WORK
@@ -238,37 +237,18 @@
             each.close()
 
 
-class AgentConnection(asyncio.Protocol):
-    """HTTP/1.1, one GET at a time."""
+class AgentConnection(DiscoveryProtocol):
+    """One connection to an agent; what it answers counts as told."""
 
     def __init__(self, agent: Agent) -> None:
-        self.agent, self.parser, self.target = agent, HttpRequestParser(self), ""
-        self.transport: asyncio.Transport
-        self.task: asyncio.Task[None] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-
-    def data_received(self, data: bytes) -> None:
-        self.parser.feed_data(data)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self.task is not None:
-            self.task.cancel()
-
-    def on_url(self, url: bytes) -> None:
-        """Called by the parser."""
-        self.target = url.decode()
-
-    def on_message_complete(self) -> None:
-        """Called by the parser."""
-        self.task = asyncio.get_running_loop().create_task(self.reply(self.target))
+        super().__init__(agent.service)
+        self.agent = agent
 
     async def reply(self, target: str) -> None:
         """Answers one call."""
+        assert self.transport is not None
         body, servers = await self.agent.service.answer(dict(parse_qsl(urlsplit(target).query)))
-        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
-        self.transport.write(head + body)
+        self.transport.write(http_answer(body))
         self.agent.wrote(servers)
 
 
