Judge a gateway that is never ready though it is ended in the end, and drop what stood twice

Found on a last reading: the soak ends all gateways at its close, and one that had hung from its start was then taken for ended as told. The soak asks for readiness by the function that was there; an unused constant is gone.

--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -24,10 +24,12 @@
 
 
 class AttemptControl:
-    """Args:
-    listed: whether a server is one that requests may be sent to now.
-    admits_late: whether an attempt (clock time, request, number, server) may still be written to a server in
-        slow start though its connection came up late.
+    """Asks and checks for all attempts of one gateway.
+
+    Args:
+        listed: whether a server is one that requests may be sent to now.
+        admits_late: whether an attempt (clock time, request, number, server) may still be written to a server
+            in slow start though its connection came up late.
     """
 
     def __init__(
--- a/emulator/real/processes.py
+++ b/emulator/real/processes.py
@@ -127,24 +127,26 @@
         while time.monotonic() - began < READY_WITHIN:
             if self.process.returncode is not None:
                 raise ProcessError(f"the gateway ended with {self.process.returncode}")
-            if await self._answers_ping():
+            if await answers_ping(self.port, READY_WITHIN):
                 self.ready_after = time.monotonic() - began
                 return
             await asyncio.sleep(LOOK_EVERY)
         raise ProcessError(f"the gateway was not ready within {READY_WITHIN:g} s")
 
-    async def _answers_ping(self) -> bool:
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        except OSError:
-            return False
-        try:
-            writer.write(PING)
-            return await asyncio.wait_for(reader.readline(), READY_WITHIN) == PONG
-        except (OSError, TimeoutError):
-            return False
-        finally:
-            writer.close()
+
+async def answers_ping(port: int, within: float) -> bool:
+    """Whether a gateway at this port answers PING with PONG within so many seconds."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    try:
+        writer.write(PING)
+        return await asyncio.wait_for(reader.readline(), within) == PONG
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        writer.close()
 
 
 def configuration(deployment: Deployment, port: int, ports: dict[str, int], known: int) -> dict[str, Any]:
--- a/emulator/soak/clients.py
+++ b/emulator/soak/clients.py
@@ -25,7 +25,6 @@
 MOST_PRESSED = 200  # commands on a connection that is pressed
 CUSTOMERS = 40
 RESET = struct.pack("ii", 1, 0)
-BUSY_FRACTION = 0.3  # part of the customers who ask beyond their quota now and then
 
 
 class Connection:
--- a/emulator/soak/fleet.py
+++ b/emulator/soak/fleet.py
@@ -15,14 +15,14 @@
 from typing import Any
 
 from emulator.real.faults import Faults
-from emulator.real.processes import PING, PONG, ProcessError, run_command, usage
+from emulator.real.processes import READY_WITHIN, ProcessError, answers_ping, run_command, usage
 from emulator.results import ROOT
 from emulator.soak.record import Life, Record
 from emulator.soak.shape import LONGEST, SOCKETS, settings_tree
 from emulator.soak.standins import Agent, SoakCounter, SoakList
 
 READY_LOOK = 0.02  # seconds between looks whether a gateway is ready
-READY_WITHIN = 30.0
+PING_WITHIN = 1.0
 FRONT_NOTICES = 0.5  # seconds after which the front knows that a gateway has died
 KILL_AFTER = min(LONGEST, 3.0) + 0.7  # seconds from SIGTERM to SIGKILL at the earliest
 LOG_TAIL = 20_000  # bytes
@@ -105,27 +105,12 @@
             )
         process, life = self.process, self.life
         while time.monotonic() - life.started_at < READY_WITHIN and process.returncode is None:
-            if await self.answers_ping():
+            if await answers_ping(self.port, PING_WITHIN):
                 life.ready_at = time.monotonic()
                 self.ready = True
                 return
             await asyncio.sleep(READY_LOOK)
 
-    async def answers_ping(self) -> bool:
-        """Whether it is ready."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        except OSError:
-            return False
-        try:
-            writer.write(PING)
-            async with asyncio.timeout(1.0):
-                return await reader.readline() == PONG
-        except (OSError, TimeoutError):
-            return False
-        finally:
-            writer.close()
-
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process that is running."""
         if self.process is not None and self.process.returncode is None:
--- a/emulator/soak/judges.py
+++ b/emulator/soak/judges.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from emulator.real.processes import READY_WITHIN
 from emulator.soak.clients import BAD_WITHIN, LATE_ANSWER, served_rightly
 from emulator.soak.record import Asked, Effect, Ending, Life, Record
 from emulator.soak.shape import (
@@ -28,7 +29,6 @@
 LEFT_WITHIN = 0.1  # seconds after a client's close in which an attempt may still begin
 TOLD_SLACK = 0.15  # seconds by which the deadline told may be over what is left
 READ_WITHIN = 0.3  # seconds after which a command that was sent has been read
-READY_WITHIN = 30.0
 QUOTA_MULTIPLE = 1.5  # of a run's quota: each gateway passes a part by itself while the counter is away
 GROWTH_KB, SETTLED = 12_000, 5.0  # memory that may come on after so many seconds
 FEW_SENT = 30  # below it a cold server's budget has the wider margin
@@ -270,8 +270,11 @@
     """A gateway is ready in time, ends only when told to, in time, and without an error."""
     for life in record.lives:
         told = f"gateway {life.gateway}.{life.number}"
-        if life.ready_at is None and life.told_at is None and life.killed_at is None:
-            yield Violation("processes_live", life.started_at, f"{told}: never ready, ended with {life.code}")
+        ends = [at for at in (life.told_at, life.killed_at, life.ended_at) if at is not None]
+        until = min(ends, default=record.ended)
+        alone = life.told_at is None and life.killed_at is None
+        if life.ready_at is None and (alone or until - life.started_at >= READY_WITHIN):
+            yield Violation("processes_live", life.started_at, f"{told}: never ready, code {life.code}")
         elif life.ended_at is not None and life.told_at is None and life.killed_at is None:
             yield Violation("processes_live", life.ended_at, f"{told}: ended by itself with {life.code}")
         elif life.told_at is not None and life.killed_at is not None:
