Check the CRLF behind a bulk string also where it arrives after its length

Cause: MessageFramer.message_length checked the two bytes behind a bulk string in the pass of its loop that reads the length, and only if the whole string had arrived by then. A call that resumed behind the string never checked them, and hiredis does not check them either. Ruled out: hiredis, which gets the same bytes in both cases, and read_response, which gets three items of the right types.

Change: the loop checks the end of the item before as it reaches the next one, or the end of the message, whenever these bytes are there. No place of the cut is left out, as nothing is returned or scanned beyond unchecked bytes.

--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -68,9 +68,13 @@
         """
         buffer = self.buffer
         available = len(buffer)
-        while self.items_left:
-            start = self.position
-            if start >= available:
+        while (start := self.position) <= available:
+            # Checked here, and not behind the length, as the end of a bulk string can arrive in a later call.
+            if start and not buffer.startswith(b"\r\n", start - 2):
+                raise FramingError("no CRLF after a bulk string")
+            if not self.items_left:
+                return start
+            if start == available:
                 break
             type_byte, line_end = buffer[start], buffer.find(b"\r\n", start, start + MAX_LINE_BYTES)
             if type_byte not in b"$*+-:":
@@ -85,9 +89,7 @@
                 self.apply_length(type_byte == 42, buffer[start + 1 : line_end], start)
             if self.position > MAX_MESSAGE_BYTES:
                 raise FramingError("message too long")
-            if self.position <= available and buffer[self.position - 2 : self.position] != b"\r\n":
-                raise FramingError("no CRLF after a bulk string")
-        return self.position if not self.items_left and self.position <= available else 0
+        return 0
 
     def apply_length(self, is_array: bool, digits: bytearray, start: int) -> None:
         """Applies the length of an array or a bulk string that begins at `start` in the buffer.
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -102,6 +102,22 @@
         assert await harness.send_command(command()) == CLIENT_REPLY
 
 
+@on_loop
+async def test_body_of_wrong_length_that_arrives_in_pieces_is_not_forwarded(tmp_path):
+    # Guards against forwarding a body with bytes of its framing, where its length does not fit.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        good = command(fields=command_fields(c="note"), verb=b"API.WRITE", body=b"BODY")
+        bad = good.replace(b"$4\r\nBODY", b"$5\r\nBODY")
+        reader, writer = await harness.connect()
+        writer.write(bad[:-4])
+        while not any(client.partial_bytes for client in harness.service.clients.connections):
+            await asyncio.sleep(0)
+        writer.write(bad[-4:] + b"\n*1\r\n$4\r\nPING\r\n")
+        assert await read_reply(reader) == b"-ERR protocol error\r\n"
+        assert await read_reply(reader) == b""
+        assert not server.commands
+
+
 @on_loop
 async def test_responses_are_sent_in_order_of_commands(tmp_path):
     async with StubServer(answer=None) as server, GatewayHarness(server, path=tmp_path) as harness:
--- a/tests/test_net_server_connections.py
+++ b/tests/test_net_server_connections.py
@@ -17,6 +17,7 @@
     command,
     command_fields,
     on_loop,
+    read_reply,
     write_command,
 )
 
@@ -80,6 +81,29 @@
         assert len(server.writers) == 2  # the connection with the malformed response was closed
 
 
+async def answer_in_two_pieces(harness, server, answer):
+    """Waits for a command and answers it in two pieces, of which the gateway reads the first by itself."""
+    await server.arrived.get()
+    server.writers[-1].write(answer[:20])
+    while not any(connection.framing.buffer for connection in harness.service.server_connections.connections):
+        await asyncio.sleep(0)
+    server.writers[-1].write(answer[20:])
+
+
+@pytest.mark.parametrize("wrong_by", [-2, -1, 0, 1, 2])
+@on_loop
+async def test_value_of_wrong_length_that_arrives_in_pieces_is_not_served(wrong_by, tmp_path):
+    # Guards against serving a value with bytes of its framing, where its length does not fit.
+    async with StubServer(None) as server, GatewayHarness(server, path=tmp_path) as harness:
+        value = b"v" * 40
+        reader, writer = await harness.connect()
+        writer.write(command(fields=command_fields(c="note", d="700"), verb=b"API.WRITE", body=b"x"))
+        answer = b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value) + wrong_by, value)
+        await answer_in_two_pieces(harness, server, answer)
+        reply = await read_reply(reader)
+        assert reply == (b"$40\r\n%s\r\n" % value if wrong_by == 0 else b"-ERR failed\r\n")
+
+
 @on_loop
 async def test_probe_returns_the_load_report(tmp_path):
     async with StubServer(b"$8\r\nactive=7\r\n") as server, GatewayHarness(server, path=tmp_path) as harness:
