Count and log connections of clients that are closed while responses on them are unsent

Neither logs nor counts could tell whether a gateway ends a connection whose client has not received all of its responses: the event loop reports an empty buffer as soon as the system has taken the bytes. The new event closed_with_unsent_responses names the connection, its state and how many bytes were unsent, those in the system's send queue included, where the gateway closes or drops a connection.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -11,6 +11,7 @@
 import fcntl
 import itertools
 import select
+import sys
 import termios
 from collections import deque
 from enum import Enum
@@ -46,6 +47,7 @@
 MAX_UNSENT_BYTES = 1024 * 1024
 MAX_REJECTED_CONNECTIONS = 16  # rejected connections that wait for their client to close
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+C_INT_BYTES = 4  # size of the number that an ioctl call fills in
 FAILED_RESPONSE = b"-ERR failed\r\n"
 
 
@@ -264,8 +266,31 @@
 
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds bytes that have not been read yet."""
-        count = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0\0\0\0")
-        return count != b"\0\0\0\0"
+        count = fcntl.ioctl(
+            self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(C_INT_BYTES)
+        )
+        return any(count)
+
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes of responses the client's machine has not acknowledged yet.
+
+        Those that the event loop holds count as well as those in the system's send queue.
+        """
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        try:
+            queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(C_INT_BYTES))
+        except OSError:  # the system cannot tell
+            queued = b""
+        return self.transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
+
+    def log_unsent_responses(self) -> None:
+        """Logs that the connection is closed while responses on it are unsent, if there are any.
+
+        Input of the client that is unread then, or comes later, leads to a reset that discards them.
+        """
+        if unsent := self.unsent_bytes():
+            ids = {"connection": self.number, "state": self.state.value, "bytes": unsent}
+            self.owner.events.log(EventKind.CLOSED_WITH_UNSENT_RESPONSES, self.close_reason.value, **ids)
 
     def has_unexpired_response(self, now: float) -> bool:
         """Whether the client still has to receive a response that has not expired.
@@ -284,8 +309,11 @@
 
     def drop(self, reason: CloseReason) -> None:
         """Closes the connection at once, without waiting for pending or unsent responses."""
+        if self in self.owner.dropped:
+            return
         if self.state not in (ClientConnectionState.DISCONNECTED, ClientConnectionState.CLOSED):
             self.transition_to(ClientConnectionState.DISCONNECTED, reason)
+        self.log_unsent_responses()
         self.owner.dropped.add(self)
         self.transport.abort()
 
@@ -336,6 +364,7 @@
             # Closing with unread input would send a reset, which can discard the error response.
             self.transport.write_eof()
         else:
+            self.log_unsent_responses()
             self.transport.close()
 
     def pause_writing(self) -> None:
--- a/calicomast/net/events.py
+++ b/calicomast/net/events.py
@@ -22,6 +22,7 @@
     """Kind of an event; the values are printed in the log and in the counters."""
 
     CLIENT_CLOSED = "client_closed"
+    CLOSED_WITH_UNSENT_RESPONSES = "closed_with_unsent_responses"
     ATTEMPT_ENDED = "attempt_ended"
     ATTEMPT_NOT_WRITTEN = "attempt_not_written"
     REQUEST_REFUSED = "request_refused"
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -19,6 +19,7 @@
 )
 
 from calicomast.net import clients, gateway
+from calicomast.net.events import EventKind
 
 
 @pytest.mark.parametrize(
@@ -347,6 +348,8 @@
         now += 2.0 + gateway.LATE_ANSWER_GRACE  # past all deadlines
         harness.service.clients.sweep()
         assert connection in harness.service.clients.dropped
+        unsent = (EventKind.CLOSED_WITH_UNSENT_RESPONSES, clients.CloseReason.IDLE.value)
+        assert harness.service.event_log.counts[unsent]
         client.close()
 
 
