End only the sending of a client's connection, so that no reset discards written responses

Cause: ClientConnection.try_close called transport.close() once the responses were handed to the system. The socket then was closed for reading too, while the system's send queue still held responses. The next command of the client met a closed socket, the system answered with a reset, and a reset discards the send queue. Ruled out: a close over unread input, which is checked in the same step; the end of the process, which came 0.47 s after the close that was logged; a request without a response, which the check CLOSED_OWING would report.

The new tests fail without the change: two with ConnectionResetError as the client sends behind a close (idle and shutting down), one as it ends its sending, one as it goes on after lost framing, one where a connection with such responses is evicted, and those on the time for which closing connections are kept.

Change: a close ends only sending and stops reading. The socket is closed once the client has closed, or after CLOSE_TIMEOUT, but not before the responses in the send queue are acknowledged or have expired. What the client sends meanwhile stays unread, so that it may send it once more elsewhere; a reset cannot come while the socket is open.

The same cause on related paths: the eviction of idle connections, the timeouts of closing ones, and the end of a connection that goes on after lost framing looked at the event loop's buffer only, and reset a connection whose responses were in the send queue. They now look at both.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -113,6 +113,7 @@
         partial_since: time at which the partial command began.
         written_expires_at: latest expiry of the responses that were written.
         dispatching: whether commands that were read together are being handed to the handler.
+        input_ended: whether no more input is read, as a command in it could not be answered any more.
     """
 
     def __init__(self, owner: ClientConnections, waited: float = 0.0) -> None:
@@ -127,7 +128,7 @@
         self.partial_since = self.written_expires_at = 0.0
         self.writes_paused = self.reads_paused = False
         self.reads_paused_at = 0.0
-        self.dispatching = False
+        self.dispatching = self.input_ended = False
         self.transport: asyncio.Transport
 
     @property
@@ -177,25 +178,32 @@
                 self.owner.handler.handle_client_gone(slot)
 
     def check_disconnect(self) -> None:
-        """Detects a disconnect while reading is paused and the FIN is queued behind unread bytes."""
-        if self.peer_has_closed():
-            self.handle_disconnect()
-            self.transport.abort()
+        """Detects a disconnect while reading is paused and the FIN is queued behind unread bytes.
+
+        A client that has ended only its sending still receives the responses that were written before.
+        """
+        events = self.poll_disconnect()
+        if not events:
+            return
+        if self.input_ended and not events & select.POLLERR and self.unsent_bytes():
+            return
+        self.handle_disconnect()
+        self.transport.abort()
 
     def peer_has_closed(self) -> bool:
         """Whether the client has closed, even if the event loop has not read that yet."""
-        if self.transport.is_closing():
-            return True
+        return self.transport.is_closing() or self.poll_disconnect() != 0
+
+    def poll_disconnect(self) -> int:
+        """Returns which of DISCONNECT_EVENTS the socket reports now; 0 while the client has not closed."""
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return any(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
+        return sum(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
 
     def data_received(self, data: bytes) -> None:
         """Called by the event loop with received bytes; hands complete commands to the handler."""
         if not self.is_readable:
-            self.discarded_bytes += len(data)
-            if self.discarded_bytes > MAX_DISCARDED_BYTES:  # a client that keeps sending would waste CPU
-                self.transport.abort()
+            self.discard(data)
             return
         self.framer.feed(data)
         partial_is_new = not self.partial_bytes
@@ -226,6 +234,16 @@
         if self.is_closing and not self.pending:
             self.try_close()
 
+    def discard(self, data: bytes) -> None:
+        """Discards input that can't be parsed or answered. A client that keeps sending would waste CPU."""
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            return
+        if self.has_unexpired_response(monotonic()):
+            self.end_input()  # a close would reset the connection and discard the responses
+        else:
+            self.drop(CloseReason.SENT_AFTER_LOST_FRAMING)
+
     def fail(self, response: bytes, reason: CloseReason) -> None:
         """Stops reading commands, as no further one can be parsed, and writes `response` as the last one.
 
@@ -274,12 +292,13 @@
     def unsent_bytes(self) -> int:
         """Returns how many bytes of responses the client's machine has not acknowledged yet.
 
-        Those that the event loop holds count as well as those in the system's send queue.
+        Those that the event loop holds count as well as those in the system's send queue. A FIN in this queue
+        counts as one byte.
         """
         descriptor = self.transport.get_extra_info("socket").fileno()
         try:
             queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(C_INT_BYTES))
-        except OSError:  # the system cannot tell
+        except (OSError, ValueError):  # the system cannot tell, or the socket is closed
             queued = b""
         return self.transport.get_write_buffer_size() + int.from_bytes(queued, sys.byteorder)
 
@@ -298,7 +317,7 @@
         A client that has stopped waiting may never read its responses.
         """
         return any(slot.expires_at > now for slot in self.pending) or (
-            self.written_expires_at > now and self.transport.get_write_buffer_size() > 0
+            self.written_expires_at > now and self.unsent_bytes() > 0
         )
 
     def may_be_dropped(self, now: float) -> bool:
@@ -337,7 +356,7 @@
                 self.try_close()
 
     def try_close(self) -> None:
-        """Closes the connection, unless a response is pending or received bytes are still unread."""
+        """Ends sending on the connection, unless a response is pending or received bytes are still unread."""
         if (
             self.transport.is_closing()
             or self.dispatching
@@ -360,12 +379,17 @@
         self.owner.awaiting_close.setdefault(self, monotonic())
         if self.state in (ClientConnectionState.CLOSING, ClientConnectionState.BROKEN):
             self.transition_to(ClientConnectionState.AWAITING_CLOSE)
-        if broken:
-            # Closing with unread input would send a reset, which can discard the error response.
-            self.transport.write_eof()
-        else:
-            self.log_unsent_responses()
-            self.transport.close()
+        # Closing the socket now would answer any further bytes of the client with a reset, which discards the
+        # responses that it has not received. So only sending ends here. The socket is closed once the client
+        # has closed, or after CLOSE_TIMEOUT.
+        self.transport.write_eof()
+        if not broken:
+            self.end_input()
+
+    def end_input(self) -> None:
+        """Stops reading for good. A client sends a command that was not read once more elsewhere."""
+        self.input_ended = True
+        self.update_flow_control()
 
     def pause_writing(self) -> None:
         """Called by the event loop when the write buffer is full."""
@@ -381,7 +405,7 @@
 
     def update_flow_control(self) -> None:
         """Pauses reading while the client doesn't read responses or has too many pending commands."""
-        pause = self.writes_paused or len(self.pending) >= MAX_PENDING_COMMANDS
+        pause = self.input_ended or self.writes_paused or len(self.pending) >= MAX_PENDING_COMMANDS
         if pause != self.reads_paused and not self.transport.is_closing():
             self.reads_paused = pause
             if pause:
@@ -487,7 +511,7 @@
             if not (
                 connection.transport.is_closing()
                 or recent_partial
-                or connection.transport.get_write_buffer_size()
+                or connection.unsent_bytes()
                 or connection.has_unread_bytes()
             ):
                 connection.drop(CloseReason.EVICTED)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -242,10 +242,14 @@
 LONG_RESPONSE = b"$60000\r\n" + b"v" * 60000 + b"\r\n"
 
 
-async def connect_with_unread_responses(harness, count=10):
+SMALL_BUFFER = 4096  # bytes; the event loop holds most responses
+LARGE_BUFFER = 1024 * 1024  # bytes; three of LONG_RESPONSE fit in the system's send queue
+
+
+async def connect_with_unread_responses(harness, count=10, send_buffer=SMALL_BUFFER):
     """Connects a client that sends `count` requests and reads no response.
 
-    Returns the client's socket and the gateway's connection of it.
+    Returns the client's socket and the gateway's connection of it, whose send buffer is set to `send_buffer`.
     """
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -255,7 +259,8 @@
     while not (added := harness.service.clients.connections - before):
         await asyncio.sleep(0)
     (connection,) = added
-    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    gateway_socket = connection.transport.get_extra_info("socket")
+    gateway_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
 
     class SilentPolicy:
         """Decides nothing."""
@@ -270,7 +275,9 @@
     harness.service.policy = policy
     for request in list(harness.service.active_requests.values()):
         harness.service.finish_request(request, LONG_RESPONSE)
-    assert connection.transport.get_write_buffer_size()
+    await asyncio.sleep(0)
+    assert (connection.transport.get_write_buffer_size() > 0) == (send_buffer == SMALL_BUFFER)
+    assert connection.unsent_bytes() > SMALL_BUFFER
     return client, connection
 
 
@@ -286,6 +293,66 @@
         assert await read_to_end(client) == LONG_RESPONSE * 10
 
 
+@pytest.mark.parametrize("reason", [clients.CloseReason.SHUTTING_DOWN, clients.CloseReason.IDLE])
+@on_loop
+async def test_responses_are_received_though_client_sends_after_the_close(reason, tmp_path):
+    # Guards against a reset that discards written responses, as further commands come after the close.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
+        connection.close_when_done(reason)
+        for _ in range(10):
+            await asyncio.sleep(0)  # the event loop carries out the close
+        client.send(command(b"late"))
+        assert await receive(client, 3 * len(LONG_RESPONSE)) == LONG_RESPONSE * 3
+        assert connection.has_unread_bytes()  # so the client may send the command again elsewhere
+        assert await read_to_end(client) == b""
+        while harness.service.clients.connections:
+            await asyncio.sleep(0)
+        assert not (server.commands or harness.service.clients.awaiting_close)
+
+
+@on_loop
+async def test_responses_are_received_though_client_has_ended_its_sending(tmp_path):
+    # Guards against a reset that discards written responses, as the gateway sees the client's end of input.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
+        connection.close_when_done(clients.CloseReason.SHUTTING_DOWN)
+        await asyncio.sleep(0)
+        client.send(command(b"late"))
+        client.shutdown(socket.SHUT_WR)
+        connection.check_disconnect()
+        await asyncio.sleep(0)
+        assert await read_to_end(client) == LONG_RESPONSE * 3
+
+
+@on_loop
+async def test_responses_are_received_though_client_floods_after_lost_framing(tmp_path):
+    # Guards against a reset that discards written responses, as the gateway gives up reading what follows.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
+        flood = b"nonsense\r\n" + bytes(4 * clients.MAX_DISCARDED_BYTES)
+        sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(client, flood))
+        while connection.discarded_bytes <= clients.MAX_DISCARDED_BYTES:
+            await asyncio.sleep(0)
+        assert await receive(client, 3 * len(LONG_RESPONSE)) == LONG_RESPONSE * 3
+        sending.cancel()
+        client.close()
+
+
+@on_loop
+async def test_idle_connection_with_responses_in_the_send_queue_is_not_evicted(tmp_path):
+    # Guards against a close of connections whose client has not received its responses, to make room.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
+        assert connection in harness.service.clients.idle
+        assert not harness.service.clients.evict_connection()
+        await receive(client, 3 * len(LONG_RESPONSE))
+        while connection.unsent_bytes():
+            await asyncio.sleep(0)
+        assert harness.service.clients.evict_connection()
+        client.close()
+
+
 @on_loop
 async def test_each_eviction_drops_a_different_connection(tmp_path):
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
@@ -330,15 +397,18 @@
         assert await read_reply(busy) == CLIENT_REPLY and len(server.commands) == 1
 
 
-@pytest.mark.parametrize("closing", [False, True])
+@pytest.mark.parametrize(
+    "closing, count, send_buffer",
+    [(False, 10, SMALL_BUFFER), (True, 10, SMALL_BUFFER), (True, 3, LARGE_BUFFER)],
+)
 @on_loop
 async def test_closing_and_stalled_connections_are_kept_until_responses_expire(
-    closing, tmp_path, monkeypatch
+    closing, count, send_buffer, tmp_path, monkeypatch
 ):
     for name in ("CLOSE_TIMEOUT", "WRITE_STALL_TIMEOUT"):
         monkeypatch.setattr(clients, name, 0.0)
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
-        client, connection = await connect_with_unread_responses(harness)
+        client, connection = await connect_with_unread_responses(harness, count, send_buffer)
         if closing:
             connection.close_when_done(clients.CloseReason.IDLE)
         now = clients.monotonic() + 1.0
@@ -349,7 +419,7 @@
         harness.service.clients.sweep()
         assert connection in harness.service.clients.dropped
         unsent = (EventKind.CLOSED_WITH_UNSENT_RESPONSES, clients.CloseReason.IDLE.value)
-        assert harness.service.event_log.counts[unsent]
+        assert harness.service.event_log.counts[unsent] == 1
         client.close()
 
 
@@ -430,6 +500,14 @@
     return client
 
 
+async def receive(client, count):
+    """Reads `count` bytes from a client's socket; fewer if EOF comes first."""
+    received, loop = b"", asyncio.get_running_loop()
+    while len(received) < count and (data := await loop.sock_recv(client, count - len(received))):
+        received += data
+    return received
+
+
 async def read_to_end(client):
     """Reads from a client's socket until EOF and closes it; returns all the bytes."""
     received, loop = b"", asyncio.get_running_loop()
