Divide clients.py: one connection, all connections, and what the system knows of a socket

clients.py had grown to 590 lines with two classes of different jobs. client_connection.py now has one connection, clients.py the limits and timeouts of all, socket_state.py the calls that ask the system about a socket, which stood in the connection's methods. No behaviour changes.

--- /dev/null
+++ b/calicomast/net/client_connection.py
@@ -0,0 +1,390 @@
+"""One connection of a client: reads commands, writes responses in order, and detects a client's disconnect.
+
+The states of a connection are in lifecycle.py, the limits and timeouts of all connections in clients.py.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections import deque
+from enum import Enum
+from time import monotonic
+from typing import TYPE_CHECKING, Any
+
+from calicomast.net.events import EventKind
+from calicomast.net.framing import NO_MESSAGE, FramingError, MessageFramer
+from calicomast.net.invariants import MONITOR, Invariant
+from calicomast.net.lifecycle import ClientConnectionState, transition
+from calicomast.net.socket_state import disconnect_events, unacknowledged_bytes, unread_bytes
+from calicomast.rules import Verdict, may_close_connection
+
+if TYPE_CHECKING:
+    from calicomast.net.clients import ClientConnections
+
+MAX_PENDING_COMMANDS = 512  # per connection; reading is paused beyond it
+# Seconds that a partial command has at least, even if the idle timeout of its connection is over.
+MIN_PARTIAL_COMMAND_TIME = 0.5
+# Input that is read and discarded after lost framing, as closing with unread input would send a reset.
+MAX_DISCARDED_BYTES = 256 * 1024
+# Responses that the client has not read. A connection with more is dropped at its timeout even if a response
+# has not expired.
+MAX_UNSENT_BYTES = 1024 * 1024
+FAILED_RESPONSE = b"-ERR failed\r\n"
+
+
+class CloseReason(Enum):
+    """Reason for closing a client's connection; the values are printed in the log and in the counters."""
+
+    CLIENT_DISCONNECTED = "client left"
+    IDLE = "idle"
+    PARTIAL_COMMAND = "half a command"
+    LOST_FRAMING = "lost framing"
+    PARTIAL_COMMANDS_TOO_LARGE = "half commands too large"
+    TOO_MANY_CONNECTIONS = "too many connections"
+    EVICTED = "made room"
+    CLIENT_DID_NOT_CLOSE = "client did not end"
+    RESPONSES_NOT_READ = "answers not taken"
+    SENT_AFTER_LOST_FRAMING = "sent on behind lost framing"
+    SHUTTING_DOWN = "shutting down"
+
+
+class ResponseSlot:
+    """Holds the response to one command, in the order of the commands of its connection.
+
+    Attributes:
+        connection: the connection that the command came on.
+        response: the encoded response, once there is one.
+        active_request: the handler's state of the command while it is pending.
+        expires_at: time on the monotonic clock after which the client no longer waits for the response.
+    """
+
+    __slots__ = ("connection", "response", "active_request", "expires_at")
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.expires_at = 0.0
+        self.response: bytes | None = None
+        self.active_request: Any = None
+
+    def reply(self, response: bytes) -> None:
+        """Sets the response, which is written once those before it are; a second one is a violation."""
+        if self.response is not None:
+            MONITOR.record_violation(Invariant.SECOND_ANSWER, f"connection {self.connection.number}")
+            return
+        self.response = response
+        self.connection.flush()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    Args:
+        owner: the connections that this one is added to.
+        waited: the longest time, in seconds, that the connection may have waited to be accepted.
+
+    Attributes:
+        unread_seconds: the longest time, in seconds, that the next bytes may have waited in the
+            socket because accept failed or reading was paused.
+        number: identifies the connection in the log.
+        previous_state: the state before the current one.
+        close_reason: the first reason to leave OPEN.
+        pending: slots of commands whose response has not been written, in order of arrival.
+        partial_bytes: size of a command of which only a part has arrived.
+        discarded_bytes: bytes that were read and discarded after lost framing.
+        partial_since: time at which the partial command began.
+        written_expires_at: latest expiry of the responses that were written.
+        dispatching: whether commands that were read together are being handed to the handler.
+        input_ended: whether no more input is read, as a command in it could not be answered any more.
+    """
+
+    def __init__(self, owner: ClientConnections, waited: float = 0.0) -> None:
+        self.owner = owner
+        self.unread_seconds = waited
+        self.number = next(owner.numbers)
+        self.state = self.previous_state = ClientConnectionState.OPEN
+        self.close_reason = CloseReason.CLIENT_DISCONNECTED
+        self.framer = MessageFramer()
+        self.pending: deque[ResponseSlot] = deque()
+        self.partial_bytes = self.discarded_bytes = 0
+        self.partial_since = self.written_expires_at = 0.0
+        self.writes_paused = self.reads_paused = False
+        self.reads_paused_at = 0.0
+        self.dispatching = self.input_ended = False
+        self.transport: asyncio.Transport
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is closed, or closes once no command on it is pending."""
+        return self.state is not ClientConnectionState.OPEN
+
+    @property
+    def is_readable(self) -> bool:
+        """Whether commands on the connection are still read."""
+        return self.state is ClientConnectionState.OPEN or self.state is ClientConnectionState.CLOSING
+
+    def transition_to(self, state: ClientConnectionState, reason: CloseReason | None = None) -> None:
+        """Changes the state. The first reason to leave OPEN is kept as the close reason."""
+        if reason is not None and self.state is ClientConnectionState.OPEN:
+            self.close_reason = reason
+        self.previous_state = self.state
+        self.state = transition(self.state, state, self.number)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the event loop once the connection is set up."""
+        self.transport = transport  # type: ignore[assignment]
+        self.owner.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the event loop once the connection is closed."""
+        self.handle_disconnect()
+        self.transition_to(ClientConnectionState.CLOSED)
+        self.owner.remove(self)
+
+    def eof_received(self) -> None:
+        """Called by the event loop when the client has closed.
+
+        Its requests end now rather than in connection_lost(), which waits for the client to read the written
+        responses and may never be called.
+        """
+        if self.is_readable:
+            self.handle_disconnect()
+
+    def handle_disconnect(self) -> None:
+        """Ends the pending requests of a client that has disconnected."""
+        if self.state not in (ClientConnectionState.DISCONNECTED, ClientConnectionState.CLOSED):
+            self.transition_to(ClientConnectionState.DISCONNECTED, CloseReason.CLIENT_DISCONNECTED)
+        pending, self.pending = self.pending, deque()
+        for slot in pending:
+            if slot.response is None:
+                self.owner.handler.handle_client_gone(slot)
+
+    def check_disconnect(self) -> None:
+        """Detects a disconnect while reading is paused and the FIN is queued behind unread bytes.
+
+        A client that has ended only its sending still receives the responses that were written before.
+        """
+        events = disconnect_events(self.descriptor)
+        if not events:
+            return
+        if self.input_ended and not events & select.POLLERR and self.unsent_bytes():
+            return
+        self.handle_disconnect()
+        self.transport.abort()
+
+    def peer_has_closed(self) -> bool:
+        """Whether the client has closed, even if the event loop has not read that yet."""
+        return self.transport.is_closing() or disconnect_events(self.descriptor) != 0
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the event loop with received bytes; hands complete commands to the handler."""
+        if not self.is_readable:
+            self.discard(data)
+            return
+        self.framer.feed(data)
+        partial_is_new = not self.partial_bytes
+        self.dispatching = True
+        malformed = False
+        try:
+            while (command := self.framer.next_message()) is not NO_MESSAGE:
+                slot = ResponseSlot(self)
+                self.pending.append(slot)
+                self.owner.idle.pop(self, None)
+                partial_is_new = True
+                self.owner.handler.handle_command(slot, command)
+        except FramingError:
+            malformed = True
+        self.dispatching = False
+        self.unread_seconds = 0.0
+        if not self.is_readable:
+            return
+        if malformed:
+            self.fail(b"-ERR protocol error\r\n", CloseReason.LOST_FRAMING)
+            return
+        if partial_is_new and self.framer.buffer:
+            self.partial_since = monotonic()
+        if not self.owner.track_partial(self, len(self.framer.buffer), partial_is_new):
+            self.fail(b"-ERR too much in work\r\n", CloseReason.PARTIAL_COMMANDS_TOO_LARGE)
+            return
+        self.update_flow_control()
+        if self.is_closing and not self.pending:
+            self.try_close()
+
+    def discard(self, data: bytes) -> None:
+        """Discards input that can't be parsed or answered. A client that keeps sending would waste CPU."""
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            return
+        if self.has_unexpired_response(monotonic()):
+            self.end_input()  # a close would reset the connection and discard the responses
+        else:
+            self.drop(CloseReason.SENT_AFTER_LOST_FRAMING)
+
+    def fail(self, response: bytes, reason: CloseReason) -> None:
+        """Stops reading commands, as no further one can be parsed, and writes `response` as the last one.
+
+        Pending commands fail at once, so that the client doesn't have to wait for them.
+        """
+        self.transition_to(ClientConnectionState.BROKEN, reason)
+        self.owner.track_partial(self, 0)
+        for slot in list(self.pending):
+            if slot.response is None:
+                slot.response = FAILED_RESPONSE
+                self.owner.handler.handle_client_gone(slot)
+        slot = ResponseSlot(self)
+        self.pending.append(slot)
+        slot.reply(response)
+
+    def on_idle_timeout(self) -> None:
+        """Closes the connection, or fails its partial command, unless received bytes are still unread."""
+        if self.transport.is_closing() or self.has_unread_bytes():
+            return
+        if self.partial_bytes:
+            self.expire_partial_command(MIN_PARTIAL_COMMAND_TIME)
+        else:
+            self.close_when_done(CloseReason.IDLE)
+
+    def expire_partial_command(self, seconds: float) -> None:
+        """Fails a command that has been partial for `seconds`, unless more bytes wait in the socket."""
+        if not self.is_readable or self.transport.is_closing() or self.partial_since >= monotonic() - seconds:
+            return
+        if not self.has_unread_bytes():
+            self.fail(b"-ERR command not finished in time\r\n", CloseReason.PARTIAL_COMMAND)
+
+    def read_delay(self) -> float:
+        """Returns the longest time, in seconds, that the bytes read now may have waited in the socket.
+
+        The client's remaining time is shorter by it.
+        """
+        return max(self.unread_seconds, self.owner.loop_lag())
+
+    @property
+    def descriptor(self) -> int:
+        """The descriptor of the socket; negative once that is closed."""
+        return self.transport.get_extra_info("socket").fileno()
+
+    def has_unread_bytes(self) -> bool:
+        """Whether the socket holds bytes that have not been read yet."""
+        return unread_bytes(self.descriptor) > 0
+
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes of responses the client's machine has not acknowledged yet.
+
+        Those that the event loop holds count as well as those in the system's send queue.
+        """
+        return self.transport.get_write_buffer_size() + unacknowledged_bytes(self.descriptor)
+
+    def log_unsent_responses(self) -> None:
+        """Logs that the connection is closed while responses on it are unsent, if there are any.
+
+        Input of the client that is unread then, or comes later, leads to a reset that discards them.
+        """
+        if unsent := self.unsent_bytes():
+            ids = {"connection": self.number, "state": self.state.value, "bytes": unsent}
+            self.owner.events.log(EventKind.CLOSED_WITH_UNSENT_RESPONSES, self.close_reason.value, **ids)
+
+    def has_unexpired_response(self, now: float) -> bool:
+        """Whether the client still has to receive a response that has not expired.
+
+        A client that has stopped waiting may never read its responses.
+        """
+        return any(slot.expires_at > now for slot in self.pending) or (
+            self.written_expires_at > now and self.unsent_bytes() > 0
+        )
+
+    def may_be_dropped(self, now: float) -> bool:
+        """Whether to stop waiting for a client that doesn't read its responses or doesn't close."""
+        return (
+            not self.has_unexpired_response(now) or self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES
+        )
+
+    def drop(self, reason: CloseReason) -> None:
+        """Closes the connection at once, without waiting for pending or unsent responses."""
+        if self in self.owner.dropped:
+            return
+        if self.state not in (ClientConnectionState.DISCONNECTED, ClientConnectionState.CLOSED):
+            self.transition_to(ClientConnectionState.DISCONNECTED, reason)
+        self.log_unsent_responses()
+        self.owner.dropped.add(self)
+        self.transport.abort()
+
+    def close_when_done(self, reason: CloseReason) -> None:
+        """Closes the connection once all commands on it, also those that still arrive, are answered."""
+        if self.state is ClientConnectionState.OPEN:
+            self.transition_to(ClientConnectionState.CLOSING, reason)
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes the responses that are next in order."""
+        pending = self.pending
+        while pending and (response := pending[0].response) is not None:
+            self.written_expires_at = max(self.written_expires_at, pending.popleft().expires_at)
+            self.transport.write(response)
+        if self.reads_paused:
+            self.update_flow_control()
+        if not pending:
+            self.owner.mark_idle(self)
+            if self.is_closing:
+                self.try_close()
+
+    def try_close(self) -> None:
+        """Ends sending on the connection, unless a response is pending or received bytes are still unread."""
+        if (
+            self.transport.is_closing()
+            or self.dispatching
+            or self.state is ClientConnectionState.AWAITING_CLOSE
+        ):
+            return  # commands that were read are answered first
+        broken = self.state is ClientConnectionState.BROKEN
+        verdict = may_close_connection(
+            response_pending=any(slot.response is None for slot in self.pending),
+            partial_command=self.partial_bytes > 0,
+            unread_input=not broken and not self.partial_bytes and self.has_unread_bytes(),
+            framing_lost=broken,
+        )
+        if verdict is not Verdict.ALLOWED:
+            # Commands that have arrived are answered first; the sweep tries again after the idle timeout.
+            self.owner.idle.setdefault(self, monotonic())
+            return
+        MONITOR.check(not self.pending, Invariant.CLOSED_OWING, f"connection {self.number}")
+        self.owner.idle.pop(self, None)
+        self.owner.awaiting_close.setdefault(self, monotonic())
+        if self.state in (ClientConnectionState.CLOSING, ClientConnectionState.BROKEN):
+            self.transition_to(ClientConnectionState.AWAITING_CLOSE)
+        # Closing the socket now would answer any further bytes of the client with a reset, which discards the
+        # responses that it has not received. So only sending ends here. The socket is closed once the client
+        # has closed, or after CLOSE_TIMEOUT.
+        self.transport.write_eof()
+        if not broken:
+            self.end_input()
+
+    def end_input(self) -> None:
+        """Stops reading for good. A client sends a command that was not read once more elsewhere."""
+        self.input_ended = True
+        self.update_flow_control()
+
+    def pause_writing(self) -> None:
+        """Called by the event loop when the write buffer is full."""
+        self.writes_paused = True
+        self.owner.write_stalled[self] = monotonic()
+        self.update_flow_control()
+
+    def resume_writing(self) -> None:
+        """Called by the event loop when the write buffer has drained."""
+        self.writes_paused = False
+        self.owner.write_stalled.pop(self, None)
+        self.update_flow_control()
+
+    def update_flow_control(self) -> None:
+        """Pauses reading while the client doesn't read responses or has too many pending commands."""
+        pause = self.input_ended or self.writes_paused or len(self.pending) >= MAX_PENDING_COMMANDS
+        if pause != self.reads_paused and not self.transport.is_closing():
+            self.reads_paused = pause
+            if pause:
+                self.reads_paused_at = monotonic()
+                self.transport.pause_reading()
+                self.owner.reading_paused.add(self)
+            else:
+                self.unread_seconds = monotonic() - self.reads_paused_at
+                self.transport.resume_reading()
+                self.owner.reading_paused.discard(self)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -18,7 +18,8 @@
 
 from calicomast import interface as api
 from calicomast.net.attempts import AttemptControl
-from calicomast.net.clients import FAILED_RESPONSE, ClientConnections, ResponseSlot
+from calicomast.net.client_connection import FAILED_RESPONSE, ResponseSlot
+from calicomast.net.clients import ClientConnections
 from calicomast.net.clock import Clock
 from calicomast.net.config import Config
 from calicomast.net.counter import CounterClient
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -6,7 +6,7 @@
 import re
 
 from calicomast import interface as api
-from calicomast.net.clients import ResponseSlot
+from calicomast.net.client_connection import ResponseSlot
 from calicomast.net.framing import MAX_BODY_BYTES
 from calicomast.net.lifecycle import RequestState, transition
 from calicomast.net.server_connections import Attempt
--- a/emulator/soak/sabotage.py
+++ b/emulator/soak/sabotage.py
@@ -14,7 +14,7 @@
 
 from calicomast import quota, servers, slow_start
 from calicomast.net import (
-    clients,
+    client_connection,
     discovery,
     gateway,
     invariants,
@@ -114,7 +114,7 @@
 
 def nothing_after_leaving() -> None:
     """Ignores that a client has left."""
-    clients.ClientConnection.peer_has_closed = lambda self: False  # type: ignore[method-assign]
+    client_connection.ClientConnection.peer_has_closed = lambda self: False  # type: ignore[method-assign]
     gateway.GatewayService.handle_client_gone = lambda self, slot: None  # type: ignore[method-assign]
     delay_attempts(SEND_DELAY)
 
@@ -165,8 +165,8 @@
 
 def bad_clients_are_answered() -> None:
     """Never closes connections that are idle or have an incomplete command."""
-    clients.ClientConnection.on_idle_timeout = lambda self: None  # type: ignore[method-assign]
-    clients.ClientConnection.expire_partial_command = lambda self, seconds: None  # type: ignore[method-assign]
+    client_connection.ClientConnection.on_idle_timeout = lambda self: None  # type: ignore[method-assign]
+    client_connection.ClientConnection.expire_partial_command = lambda self, seconds: None  # type: ignore[method-assign]
 
 
 def processes_live() -> None:
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -18,7 +18,7 @@
     read_reply,
 )
 
-from calicomast.net import clients, gateway
+from calicomast.net import client_connection, clients, gateway
 from calicomast.net.events import EventKind
 
 
@@ -285,7 +285,7 @@
 async def test_connection_with_unread_responses_is_not_evicted(tmp_path):
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         client, connection = await connect_with_unread_responses(harness)
-        connection.close_when_done(clients.CloseReason.IDLE)
+        connection.close_when_done(client_connection.CloseReason.IDLE)
         assert connection in harness.service.clients.awaiting_close
         harness.service.clients.max_connections = 1
         reader, _ = await harness.connect()
@@ -293,7 +293,9 @@
         assert await read_to_end(client) == LONG_RESPONSE * 10
 
 
-@pytest.mark.parametrize("reason", [clients.CloseReason.SHUTTING_DOWN, clients.CloseReason.IDLE])
+@pytest.mark.parametrize(
+    "reason", [client_connection.CloseReason.SHUTTING_DOWN, client_connection.CloseReason.IDLE]
+)
 @on_loop
 async def test_responses_are_received_though_client_sends_after_the_close(reason, tmp_path):
     # Guards against a reset that discards written responses, as further commands come after the close.
@@ -316,7 +318,7 @@
     # Guards against a reset that discards written responses, as the gateway sees the client's end of input.
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
-        connection.close_when_done(clients.CloseReason.SHUTTING_DOWN)
+        connection.close_when_done(client_connection.CloseReason.SHUTTING_DOWN)
         await asyncio.sleep(0)
         client.send(command(b"late"))
         client.shutdown(socket.SHUT_WR)
@@ -330,9 +332,9 @@
     # Guards against a reset that discards written responses, as the gateway gives up reading what follows.
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         client, connection = await connect_with_unread_responses(harness, 3, LARGE_BUFFER)
-        flood = b"nonsense\r\n" + bytes(4 * clients.MAX_DISCARDED_BYTES)
+        flood = b"nonsense\r\n" + bytes(4 * client_connection.MAX_DISCARDED_BYTES)
         sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(client, flood))
-        while connection.discarded_bytes <= clients.MAX_DISCARDED_BYTES:
+        while connection.discarded_bytes <= client_connection.MAX_DISCARDED_BYTES:
             await asyncio.sleep(0)
         assert await receive(client, 3 * len(LONG_RESPONSE)) == LONG_RESPONSE * 3
         sending.cancel()
@@ -362,7 +364,9 @@
         while len(client_connections.connections) < 4:
             await asyncio.sleep(0)
         for client in list(client_connections.connections)[:2]:
-            client.fail(b"-ERR\r\n", clients.CloseReason.LOST_FRAMING)  # closes once its client does
+            client.fail(
+                b"-ERR\r\n", client_connection.CloseReason.LOST_FRAMING
+            )  # closes once its client does
         assert [client_connections.evict_connection() for _ in range(5)] == [True] * 4 + [False]
         assert client_connections.dropped == client_connections.connections
         while client_connections.connections:
@@ -410,7 +414,7 @@
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         client, connection = await connect_with_unread_responses(harness, count, send_buffer)
         if closing:
-            connection.close_when_done(clients.CloseReason.IDLE)
+            connection.close_when_done(client_connection.CloseReason.IDLE)
         now = clients.monotonic() + 1.0
         monkeypatch.setattr(clients, "monotonic", lambda: now)
         harness.service.clients.sweep()
@@ -418,7 +422,7 @@
         now += 2.0 + gateway.LATE_ANSWER_GRACE  # past all deadlines
         harness.service.clients.sweep()
         assert connection in harness.service.clients.dropped
-        unsent = (EventKind.CLOSED_WITH_UNSENT_RESPONSES, clients.CloseReason.IDLE.value)
+        unsent = (EventKind.CLOSED_WITH_UNSENT_RESPONSES, client_connection.CloseReason.IDLE.value)
         assert harness.service.event_log.counts[unsent] == 1
         client.close()
 
@@ -449,11 +453,11 @@
 
         harness.service.policy = SilentPolicy()
         _, writer = await harness.connect()
-        for n in range(clients.MAX_PENDING_COMMANDS):
+        for n in range(client_connection.MAX_PENDING_COMMANDS):
             writer.write(command(b"r%d" % n, fields=command_fields(d="600000")))
         while (
             not (connections := list(harness.service.clients.connections))
-            or len(connections[0].pending) < clients.MAX_PENDING_COMMANDS
+            or len(connections[0].pending) < client_connection.MAX_PENDING_COMMANDS
         ):
             await asyncio.sleep(0)
         assert connections[0].reads_paused
@@ -581,7 +585,7 @@
         # As if the first part had come at the idle timeout.
         client_connections.idle[client] -= clients.IDLE_TIMEOUT
         client_connections.sweep()
-        client.partial_since -= clients.MIN_PARTIAL_COMMAND_TIME
+        client.partial_since -= client_connection.MIN_PARTIAL_COMMAND_TIME
         writer.write(text[9:] + text[:9])  # the next command's time counts from its own first part
         assert await read_reply(reader) == CLIENT_REPLY
         while not client.partial_bytes or client not in client_connections.idle:
@@ -590,7 +594,7 @@
         client_connections.sweep()
         assert not client.is_closing
         client_connections.idle[client] -= clients.IDLE_TIMEOUT
-        client.partial_since -= clients.MIN_PARTIAL_COMMAND_TIME
+        client.partial_since -= client_connection.MIN_PARTIAL_COMMAND_TIME
         client_connections.sweep()
         assert await read_reply(reader) == b"-ERR command not finished in time\r\n"
 
@@ -607,7 +611,7 @@
 
         policy, harness.service.policy = harness.service.policy, SilentPolicy()
         reader, writer = await harness.connect()
-        for n in range(clients.MAX_PENDING_COMMANDS):
+        for n in range(client_connection.MAX_PENDING_COMMANDS):
             writer.write(command(b"r%d" % n))
         while not harness.service.clients.reading_paused:
             await asyncio.sleep(0)
@@ -620,8 +624,8 @@
         # In reverse order, so that the first releases the others.
         for request in list(harness.service.active_requests.values())[::-1]:
             harness.service.finish_request(request, CLIENT_REPLY)
-        assert [await read_reply(reader) for _ in range(clients.MAX_PENDING_COMMANDS + 2)] == (
-            [CLIENT_REPLY] * (clients.MAX_PENDING_COMMANDS + 1) + [b""]
+        assert [await read_reply(reader) for _ in range(client_connection.MAX_PENDING_COMMANDS + 2)] == (
+            [CLIENT_REPLY] * (client_connection.MAX_PENDING_COMMANDS + 1) + [b""]
         )
         assert [c[2] for c in server.commands] == [b"last"]
 
@@ -651,7 +655,7 @@
 
         policy, harness.service.policy = harness.service.policy, SilentPolicy()
         reader, writer = await harness.connect()
-        for n in range(clients.MAX_PENDING_COMMANDS):
+        for n in range(client_connection.MAX_PENDING_COMMANDS):
             writer.write(command(b"r%d" % n))
         while not harness.service.clients.reading_paused:
             await asyncio.sleep(0)
@@ -662,7 +666,9 @@
         harness.service.policy = policy
         for request in list(harness.service.active_requests.values()):
             harness.service.finish_request(request, CLIENT_REPLY)
-        assert [await read_reply(reader) for _ in range(clients.MAX_PENDING_COMMANDS + 1)][-1] == CLIENT_REPLY
+        assert [await read_reply(reader) for _ in range(client_connection.MAX_PENDING_COMMANDS + 1)][
+            -1
+        ] == CLIENT_REPLY
         assert propagated_deadline_ms(server) <= 3000 - 1000 * waited + 150
 
 
