Take a process that was not reaped for an ended one when its usage is read

Cause: an ended process keeps /proc/PID/status until it is reaped, without the lines that begin with Vm. Why it works: no process that runs lacks these lines, so that their absence means the end; ProcessError is what the callers expect of it.

--- a/emulator/real/processes.py
+++ b/emulator/real/processes.py
@@ -52,13 +52,18 @@
 
 
 def process_usage(pid: int) -> ProcessUsage:
-    """Reads the resource usage of a process from /proc; raises ProcessError if the process has ended."""
+    """Reads the resource usage of a process from /proc.
+
+    Raises ProcessError if the process has ended, also if it was not reaped yet and so still has an entry.
+    """
     try:
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         status = Path(f"/proc/{pid}/status").read_text()
     except OSError as err:
         raise ProcessError(f"process {pid} has ended") from err
     sizes = {line.split(":")[0]: line.split() for line in status.splitlines() if line.startswith("Vm")}
+    if not sizes:  # the memory of an ended process is freed before its entry is removed
+        raise ProcessError(f"process {pid} has ended and was not reaped")
     cpu_seconds = (int(fields[11]) + int(fields[12])) / CLOCK_TICK
     return ProcessUsage(cpu_seconds, int(sizes["VmRSS"][1]), int(sizes["VmHWM"][1]))
 
