Let the soak fail where one of its background tasks has failed

Seen: after the failure of its sampling the soak went on and reported no violation, as nobody asked for the result of the task. Change: at its end the soak raises the error of a background task that has failed. The new test makes the sampling fail; without the change the soak ends well ("DID NOT RAISE").

--- a/emulator/soak/environment.py
+++ b/emulator/soak/environment.py
@@ -129,8 +129,14 @@
             await asyncio.sleep(SAMPLE_INTERVAL / 5)
 
     async def stop(self) -> None:
-        """Waits for pending requests, then removes all system call faults and terminates the gateways."""
+        """Waits for pending requests, then removes all system call faults and terminates the gateways.
+
+        Raises the error of a background task that has failed, as the record is incomplete then.
+        """
         await self.clients.stop()
+        for task in self.background_tasks:
+            if task.done():
+                task.result()
         for gateway in self.gateways:
             gateway.fault_injector.clear()
         await asyncio.gather(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from emulator.soak.gateways import SoakGateway
 from emulator.soak.invariants import INVARIANT_CHECKS
 from emulator.soak.runner import SoakOptions, run_soak
 from emulator.soak.sabotage import SABOTAGES
@@ -29,6 +30,16 @@
     assert counts["troubles"] >= 2 and counts["lives"] >= 3
 
 
+def test_failure_of_a_background_task_fails_the_soak(monkeypatch):
+    # Guards against a soak that goes on, and finds nothing, once its sampling has ended.
+    def fail(gateway):
+        raise KeyError("VmRSS")
+
+    monkeypatch.setattr(SoakGateway, "sample", fail)
+    with pytest.raises(KeyError, match="VmRSS"):
+        run_soak(SoakOptions(gateways=1, seconds=0.0))
+
+
 def test_each_invariant_check_has_a_sabotage():
     assert set(SABOTAGES) == {check.__name__ for check in INVARIANT_CHECKS}
 
