Add clients to the soak that send hundreds of long commands at once and leave

The soak had clients that leave behind at most twelve short commands, so that it could not reach a connection with more commands than a gateway keeps pending, nor one with more bytes than a receive buffer holds. The fault "floods" sends 900 commands of 4 KB and closes once the system takes no more.

--- a/emulator/soak/clients.py
+++ b/emulator/soak/clients.py
@@ -24,6 +24,9 @@
 SHORT_BODY_BYTES = 20
 LONG_BODY_BYTES = 40_000
 LONG_BODY_SHARE = 0.04  # share of the bodies that are long
+FLOOD_COMMANDS = 900  # more than a gateway keeps pending for one connection
+FLOOD_BODY_BYTES = 4096  # together more than a receive buffer holds
+FLOOD_STALL = 0.01  # seconds without progress after which a client stops sending
 MAX_PIPELINED_COMMANDS = 200  # commands that one client sends on a connection
 TENANTS = 40
 LINGER_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close resets the connection
@@ -84,7 +87,11 @@
         return not self.closed.is_set() and not self.writer.is_closing()
 
     def disconnect(self, method: str) -> None:
-        """Ends the connection: `method` is "close", "reset", or "half" to close only the sending side."""
+        """Ends the connection.
+
+        `method` is "close", "reset", "abort" to close without sending what is buffered, or "half" to close
+        only the sending side.
+        """
         now = time.monotonic()
         for request in self.pending:
             request.client_closed_at, request.outcome, request.ended_at = now, RequestOutcome.CLIENT_LEFT, now
@@ -94,7 +101,7 @@
         if method == "reset":
             sock = self.writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        self.writer.transport.abort() if method == "reset" else self.writer.close()
+        self.writer.transport.abort() if method in ("reset", "abort") else self.writer.close()
 
 
 class FrontEnd:
@@ -138,8 +145,10 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def encode_command(self, request_id: str, service_class: ServiceClassConfig, tenant: int) -> bytes:
-        """Returns a request as it is sent to a gateway."""
+    def encode_command(
+        self, request_id: str, service_class: ServiceClassConfig, tenant: int, body_bytes: int = 0
+    ) -> bytes:
+        """Returns a request as it is sent to a gateway, with a body of random size if `body_bytes` is 0."""
         first_gateway = tenant % len(self.front_end.ports)
         spread = min(SPREAD, len(self.front_end.ports))
         key = "" if service_class.effect.value != "keyed" else f",k=key-{request_id}"
@@ -149,11 +158,9 @@
         )
         is_read = service_class.effect.value == "safe"
         parts = ["API.READ" if is_read else "API.WRITE", f"{tenant:016x}", request_id, options]
-        parts += (
-            []
-            if is_read
-            else ["B" * (LONG_BODY_BYTES if self.generator.random() < LONG_BODY_SHARE else SHORT_BODY_BYTES)]
-        )
+        if not is_read:
+            is_long = self.generator.random() < LONG_BODY_SHARE
+            parts.append("B" * (body_bytes or (LONG_BODY_BYTES if is_long else SHORT_BODY_BYTES)))
         return (f"*{len(parts)}\r\n" + "".join(f"${len(part)}\r\n{part}\r\n" for part in parts)).encode()
 
     async def acquire_connection(self, gateway: int) -> ClientConnection | None:
@@ -211,10 +218,11 @@
         tenant: int,
         slow: bool = False,
         request_id: str = "",
+        body_bytes: int = 0,
     ) -> RequestRecord:
         """Sends a command, slowly in two parts if `slow`; its timeout starts with the last byte."""
         request_id = request_id or f"q{next(self.request_ids)}"
-        text = self.encode_command(request_id, service_class, tenant)
+        text = self.encode_command(request_id, service_class, tenant, body_bytes)
         if slow:
             half = self.generator.randrange(1, len(text))
             connection.writer.write(text[:half])
@@ -282,6 +290,24 @@
         if connection.is_usable:
             connection.writer.close()
 
+    async def flood_and_leave(self) -> None:
+        """Pipelines more commands than a gateway keeps pending, as many as the system takes, and leaves."""
+        gateway = self.front_end.pick_gateway(
+            self.generator.randrange(len(self.front_end.ports)), self.generator
+        )
+        if gateway is None or (connection := await self.open_connection(gateway)) is None:
+            return
+        unsafe_class = SERVICE_CLASSES[-1]
+        for _ in range(FLOOD_COMMANDS):
+            tenant = self.generator.randrange(TENANTS)
+            await self.send_request(connection, unsafe_class, tenant, body_bytes=FLOOD_BODY_BYTES)
+        transport, unsent = connection.writer.transport, -1
+        while connection.is_usable and transport.get_write_buffer_size() not in (0, unsent):
+            unsent = transport.get_write_buffer_size()
+            await asyncio.sleep(FLOOD_STALL)
+        if connection.is_usable:
+            connection.disconnect("abort")
+
     async def send_until_closed(self, gateway: int, interval: float) -> None:
         """Sends on one connection to a gateway until it closes, also while the gateway restarts."""
         connection = await self.open_connection(gateway)
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -17,6 +17,7 @@
 MAX_PAUSE = 0.15  # seconds for which a process may be paused
 SERVER_SHARE = 0.25  # share of the servers that one fault affects
 GATEWAY_SHARE = 0.35  # share of the gateways that one fault affects
+FLOOD_INTERVAL = 0.4  # seconds between two clients that send hundreds of commands at once
 CLOCK_STEPS = (3600.0, -3600.0, 5.0, -5.0)  # seconds
 ACCEPT_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED)
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
@@ -284,6 +285,15 @@
     return ""
 
 
+async def flood_commands(environment: SoakEnvironment, generator: random.Random, seconds: float) -> str:
+    """Runs clients that send hundreds of commands at once and leave."""
+    until = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < until:
+        environment.clients.spawn(environment.clients.flood_and_leave())
+        await asyncio.sleep(FLOOD_INTERVAL)
+    return ""
+
+
 async def run_slow_clients(environment: SoakEnvironment, generator: random.Random, seconds: float) -> str:
     """Makes more clients write their commands in two parts."""
     previous_share, environment.clients.slow_share = environment.clients.slow_share, 0.4
@@ -324,4 +334,5 @@
     "leave": leave_early,
     "bad-clients": run_bad_clients,
     "slow-clients": run_slow_clients,
+    "floods": flood_commands,
 }
