Read on beyond a connection's pending commands, and refuse those over the limit

Cause: at 512 pending commands reading paused. The client's end of input lay behind unread commands, at its machine, so that no check could see it; and commands were handed to the policy as they were read, before the end could be read. Ruled out: a faster poll of the socket, which cannot report what has not arrived.

Change: a connection is read on. Commands over the limit are answered with -BUSY in their turn and neither parsed nor kept. Of those read together 16 are handed to the policy in a turn of the event loop, after a look for the client's end. Bounded: bytes of commands that wait for their turn, as those of partial commands are; refusals between two polls, after which reading pauses. Why it works: the end of input is read as soon as it can arrive, and before the commands that precede it begin.

One client with 10,000 commands of 4 KB: under 8 MB more (test).

--- a/calicomast/net/client_connection.py
+++ b/calicomast/net/client_connection.py
@@ -10,10 +10,10 @@
 from collections import deque
 from enum import Enum
 from time import monotonic
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from calicomast.net.events import EventKind
-from calicomast.net.framing import NO_MESSAGE, FramingError, MessageFramer
+from calicomast.net.framing import FramingError, MessageFramer
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.lifecycle import ClientConnectionState, transition
 from calicomast.net.socket_state import disconnect_events, unacknowledged_bytes, unread_bytes
@@ -22,7 +22,10 @@
 if TYPE_CHECKING:
     from calicomast.net.clients import ClientConnections
 
-MAX_PENDING_COMMANDS = 512  # per connection; reading is paused beyond it
+MAX_PENDING_COMMANDS = 512  # per connection; further ones are refused at once
+# Commands of one connection that are handed to the handler in one turn of the event loop. The rest waits for
+# the next turn, in which input is read first: a client that has left is seen before they begin.
+MAX_COMMANDS_PER_TURN = 16
 # Seconds that a partial command has at least, even if the idle timeout of its connection is over.
 MIN_PARTIAL_COMMAND_TIME = 0.5
 # Input that is read and discarded after lost framing, as closing with unread input would send a reset.
@@ -31,6 +34,7 @@
 # has not expired.
 MAX_UNSENT_BYTES = 1024 * 1024
 FAILED_RESPONSE = b"-ERR failed\r\n"
+BUSY = b"-BUSY\r\n"
 
 
 class CloseReason(Enum):
@@ -54,16 +58,27 @@
 
     Attributes:
         connection: the connection that the command came on.
+        received_at: the earliest time on the monotonic clock at which the command may have arrived.
         response: the encoded response, once there is one.
+        refusals_behind: commands behind this one that were refused as too many were pending.
         active_request: the handler's state of the command while it is pending.
         expires_at: time on the monotonic clock after which the client no longer waits for the response.
     """
 
-    __slots__ = ("connection", "response", "active_request", "expires_at")
+    __slots__ = (
+        "connection",
+        "received_at",
+        "response",
+        "active_request",
+        "expires_at",
+        "refusals_behind",
+    )
 
-    def __init__(self, connection: ClientConnection) -> None:
+    def __init__(self, connection: ClientConnection, received_at: float = 0.0) -> None:
         self.connection = connection
+        self.received_at = received_at
         self.expires_at = 0.0
+        self.refusals_behind = 0
         self.response: bytes | None = None
         self.active_request: Any = None
 
@@ -76,6 +91,20 @@
         self.connection.flush()
 
 
+class QueuedCommand(NamedTuple):
+    """A command that was read and not handed to the handler yet.
+
+    Attributes:
+        slot: takes its response.
+        command: the parsed command.
+        length: its size on the wire, in bytes.
+    """
+
+    slot: ResponseSlot
+    command: Any
+    length: int
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client.
 
@@ -94,8 +123,10 @@
         discarded_bytes: bytes that were read and discarded after lost framing.
         partial_since: time at which the partial command began.
         written_expires_at: latest expiry of the responses that were written.
-        dispatching: whether commands that were read together are being handed to the handler.
+        queued: commands that were read and not handed to the handler yet, in order of arrival.
+        dispatch_scheduled: whether the next turn of the event loop hands queued commands to the handler.
         input_ended: whether no more input is read, as a command in it could not be answered any more.
+        refusals_paused: whether reading is paused as too many commands were refused since the last check.
     """
 
     def __init__(self, owner: ClientConnections, waited: float = 0.0) -> None:
@@ -110,7 +141,8 @@
         self.partial_since = self.written_expires_at = 0.0
         self.writes_paused = self.reads_paused = False
         self.reads_paused_at = 0.0
-        self.dispatching = self.input_ended = False
+        self.input_ended = self.refusals_paused = self.dispatch_scheduled = False
+        self.queued: deque[QueuedCommand] = deque()
         self.transport: asyncio.Transport
 
     @property
@@ -154,6 +186,7 @@
         """Ends the pending requests of a client that has disconnected."""
         if self.state not in (ClientConnectionState.DISCONNECTED, ClientConnectionState.CLOSED):
             self.transition_to(ClientConnectionState.DISCONNECTED, CloseReason.CLIENT_DISCONNECTED)
+        self.clear_queue()
         pending, self.pending = self.pending, deque()
         for slot in pending:
             if slot.response is None:
@@ -183,32 +216,84 @@
             return
         self.framer.feed(data)
         partial_is_new = not self.partial_bytes
-        self.dispatching = True
+        received_at = monotonic() - self.read_delay()
+        self.unread_seconds = 0.0
         malformed = False
         try:
-            while (command := self.framer.next_message()) is not NO_MESSAGE:
-                slot = ResponseSlot(self)
-                self.pending.append(slot)
-                self.owner.idle.pop(self, None)
+            while length := self.framer.message_length():
                 partial_is_new = True
-                self.owner.handler.handle_command(slot, command)
+                self.queue_command(length, received_at)
         except FramingError:
             malformed = True
-        self.dispatching = False
-        self.unread_seconds = 0.0
+        # Counted before a command is answered, as the connection may close behind the last response.
+        if partial_is_new and self.framer.buffer:
+            self.partial_since = monotonic()
+        partial_fits = self.owner.track_partial(self, len(self.framer.buffer), partial_is_new)
+        if len(self.queued) <= MAX_COMMANDS_PER_TURN:
+            self.dispatch_commands()
+        else:
+            self.schedule_dispatch()
         if not self.is_readable:
             return
         if malformed:
             self.fail(b"-ERR protocol error\r\n", CloseReason.LOST_FRAMING)
-            return
-        if partial_is_new and self.framer.buffer:
-            self.partial_since = monotonic()
-        if not self.owner.track_partial(self, len(self.framer.buffer), partial_is_new):
+        elif not partial_fits:
             self.fail(b"-ERR too much in work\r\n", CloseReason.PARTIAL_COMMANDS_TOO_LARGE)
+        else:
+            self.update_flow_control()
+            if self.is_closing and not self.pending:
+                self.try_close()
+
+    def queue_command(self, length: int, received_at: float) -> None:
+        """Queues the next command, or refuses it at once if too much is pending. Raises FramingError.
+
+        Refusing is cheaper than to leave the command unread: a client's end of input is behind its commands.
+
+        Args:
+            length: size of the command on the wire, in bytes.
+            received_at: see ResponseSlot.
+        """
+        if len(self.pending) >= MAX_PENDING_COMMANDS or not self.owner.may_queue(length):
+            self.framer.skip(length)
+            self.owner.record_refusal(self)
+            if self.pending:
+                self.pending[-1].refusals_behind += 1
+            else:
+                self.transport.write(BUSY)
             return
-        self.update_flow_control()
-        if self.is_closing and not self.pending:
-            self.try_close()
+        queued = QueuedCommand(ResponseSlot(self, received_at), self.framer.take(length), length)
+        self.owner.idle.pop(self, None)
+        self.owner.queued_bytes += length
+        self.pending.append(queued.slot)
+        self.queued.append(queued)
+
+    def dispatch_commands(self) -> None:
+        """Hands queued commands to the handler, at most MAX_COMMANDS_PER_TURN, and schedules the rest."""
+        for _ in range(MAX_COMMANDS_PER_TURN):
+            if not self.queued:
+                return
+            slot, command, length = self.queued.popleft()
+            self.owner.queued_bytes -= length
+            self.owner.handler.handle_command(slot, command)
+        self.schedule_dispatch()
+
+    def schedule_dispatch(self) -> None:
+        """Has queued commands handed to the handler in the next turn of the event loop."""
+        if self.queued and not self.dispatch_scheduled:
+            self.dispatch_scheduled = True
+            asyncio.get_running_loop().call_soon(self.dispatch_in_next_turn)
+
+    def dispatch_in_next_turn(self) -> None:
+        """Hands queued commands to the handler, unless the client has closed since it sent them."""
+        self.dispatch_scheduled = False
+        if self.queued and self.peer_has_closed():
+            self.handle_disconnect()
+        self.dispatch_commands()
+
+    def clear_queue(self) -> None:
+        """Drops the queued commands; their slots stay in `pending`."""
+        self.owner.queued_bytes -= sum(queued.length for queued in self.queued)
+        self.queued.clear()
 
     def discard(self, data: bytes) -> None:
         """Discards input that can't be parsed or answered. A client that keeps sending would waste CPU."""
@@ -227,6 +312,7 @@
         """
         self.transition_to(ClientConnectionState.BROKEN, reason)
         self.owner.track_partial(self, 0)
+        self.clear_queue()
         for slot in list(self.pending):
             if slot.response is None:
                 slot.response = FAILED_RESPONSE
@@ -318,10 +404,9 @@
         """Writes the responses that are next in order."""
         pending = self.pending
         while pending and (response := pending[0].response) is not None:
-            self.written_expires_at = max(self.written_expires_at, pending.popleft().expires_at)
-            self.transport.write(response)
-        if self.reads_paused:
-            self.update_flow_control()
+            slot = pending.popleft()
+            self.written_expires_at = max(self.written_expires_at, slot.expires_at)
+            self.transport.write(response + BUSY * slot.refusals_behind if slot.refusals_behind else response)
         if not pending:
             self.owner.mark_idle(self)
             if self.is_closing:
@@ -329,12 +414,8 @@
 
     def try_close(self) -> None:
         """Ends sending on the connection, unless a response is pending or received bytes are still unread."""
-        if (
-            self.transport.is_closing()
-            or self.dispatching
-            or self.state is ClientConnectionState.AWAITING_CLOSE
-        ):
-            return  # commands that were read are answered first
+        if self.transport.is_closing() or self.state is ClientConnectionState.AWAITING_CLOSE:
+            return
         broken = self.state is ClientConnectionState.BROKEN
         verdict = may_close_connection(
             response_pending=any(slot.response is None for slot in self.pending),
@@ -376,8 +457,8 @@
         self.update_flow_control()
 
     def update_flow_control(self) -> None:
-        """Pauses reading while the client doesn't read responses or has too many pending commands."""
-        pause = self.input_ended or self.writes_paused or len(self.pending) >= MAX_PENDING_COMMANDS
+        """Pauses reading while the client doesn't read responses, or sends more than can be refused."""
+        pause = self.input_ended or self.writes_paused or self.refusals_paused
         if pause != self.reads_paused and not self.transport.is_closing():
             self.reads_paused = pause
             if pause:
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -15,6 +15,7 @@
 from calicomast.net.client_connection import MIN_PARTIAL_COMMAND_TIME, ClientConnection, CloseReason
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.listener import Listener
+from calicomast.rules import Verdict
 
 # Seconds without a pending command, or with a partial one, until a connection is closed.
 IDLE_TIMEOUT = 2.2
@@ -27,6 +28,9 @@
 # Seconds between checks of connections whose reading is paused, so that the request of a disconnected client
 # ends within 0.3 s.
 DISCONNECT_POLL_INTERVAL = 0.1
+# Commands over the limit of their connections that are refused between two of these checks, on all of them
+# together. It bounds the CPU that they take; reading is paused beyond it.
+MAX_REFUSALS_PER_POLL = 8192
 MAX_EVICTION_CANDIDATES = 64  # idle connections checked for unread bytes when one has to be evicted
 MAX_REJECTED_CONNECTIONS = 16  # rejected connections that wait for their client to close
 
@@ -38,7 +42,8 @@
         handler: has handle_command(slot, command), called for each command, and handle_client_gone(slot),
             called for each pending command of a client that has disconnected.
         max_connections: limit of connections.
-        max_partial_bytes: limit of bytes of partial commands on all connections together.
+        max_partial_bytes: limit of bytes of partial commands on all connections together; also, separately,
+            of commands that were read and not handed to the handler yet.
         events: counts and logs closed connections.
 
     Attributes:
@@ -49,13 +54,15 @@
         dropped: connections that were aborted and will be lost in the next turn of the event loop.
         rejected: connections over the limit that have been sent an error, oldest first.
         reading_paused: connections whose reading is paused.
+        queued_bytes: bytes of commands that were read and not handed to the handler yet.
+        refusals: commands over the limit of their connections that were refused since the last check.
     """
 
     def __init__(self, handler: Any, max_connections: int, max_partial_bytes: int, events: EventLog) -> None:
         self.handler = handler
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
-        self.partial_bytes = 0
+        self.partial_bytes = self.queued_bytes = self.refusals = 0
         self.events = events
         self.numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
@@ -171,6 +178,24 @@
             self.partial_commands.setdefault(connection, connection.partial_since)
         return not partial_bytes or self.partial_bytes <= self.max_partial_bytes
 
+    def may_queue(self, length: int) -> bool:
+        """Whether a command of this size may be queued until the handler takes it."""
+        return not self.queued_bytes or self.queued_bytes + length <= self.max_partial_bytes
+
+    def record_refusal(self, connection: ClientConnection) -> None:
+        """Counts a command that was refused unparsed; too many of them pause reading until the next check."""
+        self.events.count(EventKind.REQUEST_REFUSED, Verdict.CAPACITY_EXCEEDED.value)
+        self.refusals += 1
+        if self.refusals > MAX_REFUSALS_PER_POLL:
+            connection.refusals_paused = True
+
+    def resume_after_refusals(self) -> None:
+        """Lets connections whose reading was paused after too many refusals be read again."""
+        self.refusals = 0
+        for connection in [c for c in self.reading_paused if c.refusals_paused]:
+            connection.refusals_paused = False
+            connection.update_flow_control()
+
     def sweep(self) -> None:
         """Applies the timeouts of all connections, and schedules the next sweep."""
         self.sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL, self.sweep)
@@ -202,6 +227,7 @@
         self.next_poll_at = now + DISCONNECT_POLL_INTERVAL
         for connection in [c for c in self.reading_paused if not c.transport.is_closing()]:
             connection.check_disconnect()
+        self.resume_after_refusals()
 
     def loop_lag(self) -> float:
         """Returns by how many seconds the event loop was late just before, or 0.
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -49,18 +49,24 @@
 
         An error reply is returned as a hiredis.ReplyError. Raises FramingError.
         """
-        end = self.message_length()
-        if not end:
-            return NO_MESSAGE
+        length = self.message_length()
+        return self.take(length) if length else NO_MESSAGE
+
+    def take(self, length: int) -> Any:
+        """Returns the first message, whose length is known, as `next_message` does. Raises FramingError."""
         try:
-            self.reader.feed(bytes(self.buffer[:end]))
+            self.reader.feed(bytes(self.buffer[:length]))
             message = self.reader.gets()
         except (hiredis.ProtocolError, MemoryError) as err:
             raise FramingError(str(err)) from err
-        del self.buffer[:end]
-        self.position, self.items_left = 0, 1
+        self.skip(length)
         return message
 
+    def skip(self, length: int) -> None:
+        """Removes the first message, whose length is known, without parsing it."""
+        del self.buffer[:length]
+        self.position, self.items_left = 0, 1
+
     def message_length(self) -> int:
         """Returns the length of the first message in bytes, or 0 while it is incomplete. Raises FramingError.
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -18,7 +18,7 @@
 
 from calicomast import interface as api
 from calicomast.net.attempts import AttemptControl
-from calicomast.net.client_connection import FAILED_RESPONSE, ResponseSlot
+from calicomast.net.client_connection import BUSY, FAILED_RESPONSE, ResponseSlot
 from calicomast.net.clients import ClientConnections
 from calicomast.net.clock import Clock
 from calicomast.net.config import Config
@@ -63,7 +63,6 @@
 FINAL_FLUSH_TIMEOUT = 0.1  # time for the last answers to be written
 IDLE_POLL_INTERVAL = 0.01
 
-BUSY = b"-BUSY\r\n"
 PONG = b"+PONG\r\n"
 
 log = logging.getLogger(__name__)
@@ -303,7 +302,8 @@
     def accept_request(self, slot: ResponseSlot, message: object) -> None:
         """Accepts a request and submits it to the policy, or refuses it at once. Raises BadRequest."""
         command = validate_command(message)
-        request = parse_request(command, self.settings, RESPONSE_MARGIN + slot.connection.read_delay())
+        now = time.monotonic()
+        request = parse_request(command, self.settings, RESPONSE_MARGIN + now - slot.received_at)
         if request.id in self.active_requests:
             raise BadRequest("this id is in work")
         verdict = may_accept_request(
@@ -317,7 +317,6 @@
             self.event_log.count(EventKind.REQUEST_REFUSED, verdict.value)
             slot.reply(BUSY)
             return
-        now = time.monotonic()
         active_request = ActiveRequest(request.id, slot, command, now + request.remaining_time)
         slot.active_request = active_request
         slot.expires_at = (
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -19,18 +19,24 @@
     StubDiscovery,
     StubServer,
     command,
+    command_fields,
     gateway_config,
     on_loop,
     read_reply,
     server_entry,
+    write_command,
 )
 
 from calicomast.net.counter import CONNECTION_COUNT
 from calicomast.net.program import STEPS_PER_TURN, Reloader
 from calicomast.net.server_list import CHUNK_BYTES
+from emulator.real.processes import process_usage
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
+FLOOD_COMMANDS = 10_000
+FLOOD_BODY_BYTES = 4096
+MAX_FLOOD_MEMORY_KB = 8 * 1024
 PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
 
 
@@ -68,6 +74,33 @@
     )
 
 
+@on_loop
+async def test_memory_stays_bounded_under_many_commands_sent_at_once(tmp_path):
+    # Guards against commands over a connection's limit that are kept until those before are answered.
+    async with StubServer(None) as server, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [server_entry(server)]
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(gateway_config(discovery.servers, discovery.port, counter.port)))
+        process = await asyncio.create_subprocess_exec(
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(path)}, stderr=subprocess.PIPE
+        )
+        port = int((await process.stderr.readline()).decode().rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(write_command(b"first", b"note"))
+        await server.arrived.get()
+        before = process_usage(process.pid).resident_kb
+        body = bytes(FLOOD_BODY_BYTES)
+        for n in range(FLOOD_COMMANDS):
+            writer.write(command(b"f%d" % n, command_fields(c="note"), b"API.WRITE", body=body))
+            if n % 64 == 0:
+                await writer.drain()
+        for n in range(FLOOD_COMMANDS + 1):
+            assert await read_reply(reader), n
+        assert process_usage(process.pid).peak_kb < before + MAX_FLOOD_MEMORY_KB
+        process.kill()
+        await process.wait()
+
+
 @on_loop
 async def test_sigterm_ends_the_process_after_accepted_requests(tmp_path):
     async with StubServer(None) as server, StubCounter() as counter, StubDiscovery() as discovery:
