Admit requests whatever the concurrency limit of their plan

Seen by callers: each request of a plan with a limit of 172 or more was answered as failed. Cause: LeasePolicy.take_slot summed a Poisson distribution with factorials, which overflow a float from 171! on. Evidence: the new test fails without the change for 172, 10,000 and 1,000,000 (OverflowError), and passes for 1 to 171. Change: each term follows from the one before; beyond 64 terms a closed approximation is used, whose error is under 0.001 (test). It is needed, and made, only where the gateway's own slots are taken.

--- a/calicomast/leases.py
+++ b/calicomast/leases.py
@@ -20,6 +20,7 @@
     CounterMonitor,
     GrantStatistics,
     TenantQuota,
+    poisson_tail,
     stable_hash,
 )
 from calicomast.rules import RefusalReason
@@ -310,22 +311,15 @@
         """
         tenant, plan = pending.tenant, pending.plan
         own_slots, shared_slots = divmod(plan.concurrency_limit, tenant.spread)
-        rate = max(tenant.total, tenant.used) / max(now - tenant.window_start, tenant.window_length / 4)
-        mean_concurrency = (
-            min(rate, plan.rate or rate)
-            / max(pending.request.units, 1e-9)
-            * self.balancer.mean_latency[pending.service_class.name]
-        )
-        over_probability = 1 - sum(
-            mean_concurrency**n * math.exp(-mean_concurrency) / math.factorial(n)
-            for n in range(plan.concurrency_limit)
-        )
-        cost = max(0.0, plan.over_quota_cost - plan.over_quota_value)
         pending.stage = "slot"
         if tenant.own_slots_in_use < own_slots:
             pending.held_slot = -1
             tenant.own_slots_in_use += 1
-        elif (
+            self.enqueue(now, pending)
+            return
+        over_probability = self.over_limit_probability(now, pending)
+        cost = max(0.0, plan.over_quota_cost - plan.over_quota_value)
+        if (
             shared_slots
             and may_call
             and self.counter.is_available(now)
@@ -344,6 +338,17 @@
             return
         self.enqueue(now, pending)
 
+    def over_limit_probability(self, now: float, pending: PendingRequest) -> float:
+        """Returns the probability that other requests of the tenant take all slots of its limit."""
+        tenant, plan = pending.tenant, pending.plan
+        rate = max(tenant.total, tenant.used) / max(now - tenant.window_start, tenant.window_length / 4)
+        mean_concurrency = (
+            min(rate, plan.rate or rate)
+            / max(pending.request.units, 1e-9)
+            * self.balancer.mean_latency[pending.service_class.name]
+        )
+        return poisson_tail(plan.concurrency_limit, mean_concurrency)
+
     def count_concurrent_request(
         self, tenant: TenantQuota, epoch: int, amount: int, pending: PendingRequest | None = None
     ) -> None:
--- a/calicomast/quota.py
+++ b/calicomast/quota.py
@@ -39,6 +39,7 @@
 MAX_COUNTER_BACKOFF = 1.0  # seconds; longest pause between calls to a counter that does not answer
 LOCAL_SHARE_WEIGHT = 0.5  # weight of the latest window in the average of a tenant's local share
 EWMA_WEIGHT = 0.05  # weight of a new sample in moving averages
+EXACT_POISSON_TERMS = 64  # a longer sum is approximated
 FAST_EWMA_WEIGHT = 0.15  # the same, for averages that have to show a change within a few samples
 
 
@@ -48,6 +49,23 @@
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big") >> 1
 
 
+def poisson_tail(count: int, mean: float) -> float:
+    """Returns the probability that a Poisson variable with this mean is at least `count`.
+
+    The cost does not grow with `count`: beyond EXACT_POISSON_TERMS the probability is approximated by a
+    normal distribution (Wilson and Hilferty, "The distribution of chi-square", 1931), within 0.001.
+    """
+    if count > EXACT_POISSON_TERMS:
+        root = (mean / count) ** (1 / 3)
+        deviations = 3 * math.sqrt(count) * (root - 1 + 1 / (9 * count))
+        return 0.5 * math.erfc(-deviations / math.sqrt(2))
+    below, term = 0.0, math.exp(-mean)
+    for number in range(1, count + 1):
+        below += term
+        term *= mean / number
+    return max(0.0, 1 - below)
+
+
 @dataclass(slots=True)
 class CounterCall:
     """A call to the counter whose result has not arrived yet.
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,11 +1,13 @@
 """Quotas over gateways: leases, counter failures, debt, ceilings and limits, admission without a lease."""
 
+import math
 import random
 
 import pytest
 from helpers import PolicyHarness, actions_of, make_plan, make_server, make_settings
 
 from calicomast import interface as api
+from calicomast.quota import poisson_tail
 
 
 def count_served(harness, requests, **request):
@@ -139,6 +141,26 @@
     assert len(actions_of(harness.send_request()[1], api.Send)) == 1
 
 
+@pytest.mark.parametrize("limit", [1, 64, 65, 171, 172, 10_000, 1_000_000])
+@pytest.mark.parametrize("own_slots", [False, True])
+def test_any_concurrency_limit_admits_requests(limit, own_slots):
+    # Guards against an OverflowError for each request of a plan with a concurrency limit of 172 or more.
+    plan = make_plan(rate=50.0, burst=100.0, concurrency_limit=limit)
+    spread = 1 if own_slots else 2 * limit  # with more gateways than slots, none has a slot of its own
+    harness = PolicyHarness(make_settings(plans=[plan], gateways=spread))
+    assert len(actions_of(harness.send_request(spread=spread)[1], api.Send)) == 1
+
+
+@pytest.mark.parametrize("count", [0, 1, 5, 64, 65, 171, 172, 1000])
+def test_poisson_tail_is_close_to_the_exact_sum(count):
+    for deviations in (-4.0, -1.0, 0.0, 1.0, 4.0):
+        mean = max(0.01, count + deviations * math.sqrt(count))
+        terms = (math.exp(n * math.log(mean) - mean - math.lgamma(n + 1)) for n in range(count))
+        assert poisson_tail(count, mean) == pytest.approx(1 - math.fsum(terms), abs=0.001)
+    assert poisson_tail(count, 0.0) == pytest.approx(float(count == 0), abs=0.001)
+    assert poisson_tail(count, 1e12) == pytest.approx(1.0)
+
+
 def test_over_quota_requests_are_admitted_only_if_the_plan_earns_by_it():
     harness = PolicyHarness(make_settings(plans=[make_plan(over_quota_value=0.3, over_quota_cost=0.0)]))
     assert count_served(harness, 40) == 40
