Keep an idle tenant's state until its ceiling is full and its debt is paid

Seen: a tenant with a ceiling that refills slowly found it full after 30 s without a request. Cause: drop_idle_tenants drops a state after 30 s or three windows, as it holds nothing by then. A ceiling and an overdraft last longer. Evidence: the two new tests fail without the change (100 units where a minute refills 30; a debt forgotten). Change: the state is kept while it would admit less than a new one, which follows from the plan's figures. Other states are dropped as before; one that is kept moves to the end, so that it holds up none behind it.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -172,16 +172,13 @@
         )
 
     def drop_idle_tenants(self, now: float) -> None:
-        """Drops the quota state of tenants that have been idle for long; many tenants come only once.
-
-        Once its windows are over, a tenant's state holds nothing that a new one would not.
-        """
+        """Drops the quota state of tenants that have been idle for long; many tenants come only once."""
         for oldest in list(itertools.islice(self.tenant_quotas.values(), IDLE_TENANTS_CHECKED)):
             if now - oldest.last_request_at <= max(IDLE_TENANT_TIMEOUT, 3 * oldest.window_length):
                 return
             del self.tenant_quotas[oldest.name]
-            # A tenant that is still in use moves to the end, so that it does not block those behind it.
-            if oldest.outstanding_call or oldest.own_slots_in_use or oldest.waiting:
+            # A tenant that is still needed moves to the end, so that it does not block those behind it.
+            if oldest.is_in_use() or oldest.limits_future_use(now):
                 self.tenant_quotas[oldest.name], oldest.last_request_at = oldest, now
 
     def should_shed(self, now: float, pending: PendingRequest) -> bool:
--- a/calicomast/quota.py
+++ b/calicomast/quota.py
@@ -225,6 +225,16 @@
         )
         return max(1, int(min(size, self.plan.burst, max(self.used_last_window, self.used, 1.0))))
 
+    def is_in_use(self) -> bool:
+        """Whether a call or a request of the tenant is still pending here."""
+        return bool(self.outstanding_call or self.own_slots_in_use or self.waiting)
+
+    def limits_future_use(self, now: float) -> bool:
+        """Whether the state would admit less than a new one: until a ceiling is full or a debt is paid."""
+        refilled = self.plan.rate * self.window_length * (self.window_at(now) - self.window)
+        in_debt = self.total + self.uncharged * self.spread > refilled
+        return in_debt or self.available_ceiling_units(now) < self.plan.ceiling_burst / self.spread
+
     def available_ceiling_units(self, now: float) -> float:
         """Refills and returns this gateway's share of the ceiling; infinite for a plan without a ceiling."""
         plan = self.plan
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -126,6 +126,45 @@
             assert served <= 5.0 * (harness.now - start) + 1
 
 
+def count_of_tenants_after_idle_time(harness, seconds):
+    """Lets other tenants come for some seconds; returns how many tenants' states are kept then."""
+    end, number = harness.now + seconds, 0
+    while harness.now < end:
+        number += 1
+        for send in actions_of(harness.send_request(tenant=f"other{number}", plan="free")[1], api.Send):
+            harness.finish_attempt(send)
+        harness.now += 1.0
+    return len(harness.policy.tenant_quotas)
+
+
+def test_idle_tenant_does_not_return_to_a_full_ceiling():
+    # Guards against a ceiling that is full again for a tenant that was idle, though it refills more slowly.
+    slow = make_plan("slow", rate=10.0, burst=100.0, ceiling_rate=0.5, ceiling_burst=100.0)
+    free = make_plan("free", rate=10.0, burst=10.0)
+    harness = PolicyHarness(make_settings(plans=[slow, free], gateways=1))
+    harness.now += 400.0  # the ceiling starts empty, and is full now
+    served = count_served(harness, 150, plan="slow", spread=1)
+    assert 95 <= served <= 100
+    assert count_of_tenants_after_idle_time(harness, 60.0) < 50
+    served = count_served(harness, 150, plan="slow", spread=1)
+    assert served <= 0.5 * 62
+    count_of_tenants_after_idle_time(harness, 300.0)
+    assert "c" not in harness.policy.tenant_quotas
+
+
+def test_idle_tenant_in_debt_is_kept_until_the_debt_is_paid():
+    # Guards against an overdraft that is forgotten by a tenant's idle time, as its ceiling was.
+    free = make_plan("free", rate=10.0, burst=10.0)
+    harness = PolicyHarness(make_settings(plans=[make_plan(rate=0.1, burst=1.0), free], gateways=1))
+    harness.send_request(spread=1)
+    tenant = harness.policy.tenant_quotas["c"]
+    tenant.total = 10.0  # nine units over the quota, which take more than three windows to refill
+    count_of_tenants_after_idle_time(harness, 60.0)
+    assert harness.policy.tenant_quotas.get("c") is tenant
+    count_of_tenants_after_idle_time(harness, 120.0)
+    assert "c" not in harness.policy.tenant_quotas
+
+
 def test_concurrency_limit_holds_over_gateways():
     limited = make_plan(rate=50.0, burst=100.0, concurrency_limit=2)
     first = PolicyHarness(make_settings(plans=[limited]))
