Store a server's new address before the attempts to its old one end

Cause: ServerTable._store_available ended the attempts to the address that a server has left while the table still held that address. An attempt that the policy began as another one ended, in the same step, opened a connection to it. Evidence: the new test reads the address in the step in which attempts end: the old one before, the new one now. Change: the two steps change places. The same cause elsewhere: _store_unavailable stores first and stops then, as does a drain.

--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -153,9 +153,10 @@
         held = self.entries.get(entry.server.id)
         if held is not None and not entry.address:  # the address is unchanged
             entry = ServerEntry(entry.server, held.address)
-        elif held is not None and held.address != entry.address:
-            self._stop_sending(entry.server.id)
         self.entries[entry.server.id] = entry
+        if held is not None and held.address != entry.address:
+            # After the new address is stored: attempts that end now may lead to others at once.
+            self._stop_sending(entry.server.id)
 
     def _store_unavailable(self, entry: ServerEntry) -> None:
         """Removes a server, or stores it as draining, and stops sending to it."""
--- a/tests/test_net_server_list.py
+++ b/tests/test_net_server_list.py
@@ -211,6 +211,16 @@
     assert table.table.address_of("h2") == ("127.0.0.1", 2)  # unchanged
 
 
+def test_new_address_is_in_force_before_attempts_at_the_old_one_end():
+    # Guards against an attempt at an address that a server has left, begun as another attempt there ends.
+    addresses = []
+    table = ServerTable(lambda event: None, lambda server: addresses.append(table.address_of(server)))
+    for port in (1, 2):
+        parsed = parse_server_list(list_json([server_json("h1", addr=f"127.0.0.1:{port}")], port))
+        assert not list(table.apply(parsed))
+    assert addresses == [("127.0.0.1", 2)]
+
+
 def test_long_list_is_applied_in_batches_with_drains_and_removals_first():
     table = RecordingTable()
     steps, calls = table.apply([server_json(f"h{n}") for n in range(1000)], mode="cached")
