Apply a whole list without servers if it is newer than the last list

Cause: may_apply_server_list took every whole list without servers for an error of its source while servers are known. Change: it is applied if its version is higher than that of the last list applied. Otherwise it is rejected as before: a discovery that has lost its data begins anew.

--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -37,6 +37,7 @@
         local_start_time: Callable[[float], float] = lambda reported: reported,
     ) -> None:
         self.entries: dict[str, ServerEntry] = {}
+        self.version = 0  # of the last list applied
         self._local_start_time = local_start_time
         # Start times of the servers that have one: as reported, and on this gateway's clock.
         self._start_times: dict[str, tuple[float, float]] = {}
@@ -67,6 +68,7 @@
             source_current=source_current,
             is_complete=server_list.mode == "full",
             is_empty=server_list.empty,
+            is_newer=server_list.version > self.version,
             has_servers=bool(self.entries),
         )
         if verdict is not Verdict.ALLOWED:
@@ -86,6 +88,7 @@
             first = False
             if changed:
                 yield
+        self.version = server_list.version
 
     def _changed_entries(self, server_list: ServerList) -> Generator[None, None, list[ServerEntry]]:
         """Returns the entries that differ from the table, and those that a whole list removes by omission."""
--- a/calicomast/rules.py
+++ b/calicomast/rules.py
@@ -32,7 +32,7 @@
     CAPACITY_EXCEEDED = "too much in work"
     RESPONSE_PENDING = "answer owed"
     UNREAD_INPUT = "bytes unread"
-    EMPTY_SERVER_LIST = "whole list without servers"
+    EMPTY_SERVER_LIST = "whole list without servers"  # of a version that is not newer
     SOURCE_REPLACED = "discovery was replaced"
 
 
@@ -145,22 +145,23 @@
 
 
 def may_apply_server_list(
-    *, source_current: bool, is_complete: bool, is_empty: bool, has_servers: bool
+    *, source_current: bool, is_complete: bool, is_empty: bool, is_newer: bool, has_servers: bool
 ) -> Verdict:
     """Decides whether a server list may be applied.
 
-    A complete list without servers is rejected while servers are known: it is an error of its source, and
-    applying it would leave the gateway without any server.
+    What a complete list does not name is gone, so one without servers ends all sending. While servers are
+    known it is rejected unless it is newer than what is known: a source that has lost its data begins anew.
 
     Args:
         source_current: whether the list comes from the discovery service configured now.
         is_complete: whether the list replaces all known servers, rather than changing some.
         is_empty: whether the list names no server.
+        is_newer: whether its version is higher than that of the last list applied.
         has_servers: whether any server is known now.
     """
     if not source_current:
         return Verdict.SOURCE_REPLACED
-    if is_complete and is_empty and has_servers:
+    if is_complete and is_empty and has_servers and not is_newer:
         return Verdict.EMPTY_SERVER_LIST
     return Verdict.ALLOWED
 
