--- a/calicomast/net/client_connection.py
+++ b/calicomast/net/client_connection.py
@@ -260,6 +260,7 @@
                 self.pending[-1].refusals_behind += 1
             else:
                 self.transport.write(BUSY)
+                self.owner.mark_idle(self)
             return
         queued = QueuedCommand(ResponseSlot(self, received_at), self.framer.take(length), length)
         self.owner.idle.pop(self, None)
