--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -85,20 +85,22 @@
             *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(path)}, stderr=subprocess.PIPE
         )
         port = int((await process.stderr.readline()).decode().rsplit(":", 1)[1])
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(write_command(b"first", b"note"))
-        await server.arrived.get()
-        before = process_usage(process.pid).resident_kb
-        body = bytes(FLOOD_BODY_BYTES)
-        for n in range(FLOOD_COMMANDS):
-            writer.write(command(b"f%d" % n, command_fields(c="note"), b"API.WRITE", body=body))
-            if n % 64 == 0:
-                await writer.drain()
-        for n in range(FLOOD_COMMANDS + 1):
-            assert await read_reply(reader), n
-        assert process_usage(process.pid).peak_kb < before + MAX_FLOOD_MEMORY_KB
-        process.kill()
-        await process.wait()
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(write_command(b"first", b"note"))
+            await server.arrived.get()
+            before = process_usage(process.pid).resident_kb
+            body = bytes(FLOOD_BODY_BYTES)
+            for n in range(FLOOD_COMMANDS):
+                writer.write(command(b"f%d" % n, command_fields(c="note"), b"API.WRITE", body=body))
+                if n % 64 == 0:
+                    await writer.drain()
+            for n in range(FLOOD_COMMANDS + 1):
+                assert await read_reply(reader), n
+            assert process_usage(process.pid).peak_kb < before + MAX_FLOOD_MEMORY_KB
+        finally:
+            process.kill()
+            await process.wait()
 
 
 @on_loop
