--- a/emulator/soak/configuration.py
+++ b/emulator/soak/configuration.py
@@ -12,6 +12,7 @@
 SERVER_CONCURRENCY = 2  # requests that a server processes at once
 MEAN_SERVICE_TIME = 0.03  # seconds
 PLAN = PlanQuota("standard", rate=6.0, burst=12.0)
+CONCURRENCY_LIMIT = 1000  # requests of a tenant at once; more than a soak reaches
 DRAIN_GRACE = 1.0  # seconds within which a gateway must stop sending to a draining server
 # Seconds after which a change in discovery is assumed to have reached every gateway, even if calls failed.
 MAX_DISCOVERY_DELAY = 6.0
@@ -63,6 +64,8 @@
     tree["limits"]["connect_timeout"] = int(CONNECT_TIMEOUT * SECOND_NS)
     tree["limits"]["idle_close"] = 5 * SECOND_NS
     tree["specifics"]["counter_timeout"] = 80 * MILLISECOND_NS
+    for plan in tree["plans"]:
+        plan["parallel"] = CONCURRENCY_LIMIT
     tree["services"] = [
         {
             "name": service_class.name,
--- a/emulator/soak/standins.py
+++ b/emulator/soak/standins.py
@@ -19,6 +19,7 @@
 from emulator.soak.proxy import FaultProxy, ProxyFault
 from emulator.soak.record import AttemptRecord, ServerStart, SoakRecord, StateDelivery
 
+LENGTH_ERRORS = (-2, -1, 1, 2)  # bytes by which the length of a malformed response is wrong
 MALFORMED_RESPONSES = (b"*3\r\n$3\r\nvalue\r\n", b"\x88\xa8\r\n", b"*3\r\n$3000000000\r\n", b"$-1\r\n")
 LONG_VALUE_BYTES = 40_000
 LONG_VALUE_ID_SUFFIX = "77"  # requests whose id ends with it get a long value
@@ -147,6 +148,9 @@
                 return response + response
             case ServerBehavior.MALFORMED if generator.random() < MALFORMATION_PROBABILITY:
                 return generator.choice(MALFORMED_RESPONSES)
+            case ServerBehavior.MALFORMED if generator.random() < MALFORMATION_PROBABILITY:
+                wrong_length = len(value) + generator.choice(LENGTH_ERRORS)
+                return response.replace(b"$%d" % len(value), b"$%d" % wrong_length, 1)
         return response
 
 
