--- a/calicomast/net/client_connection.py
+++ b/calicomast/net/client_connection.py
@@ -142,7 +142,7 @@
         self.writes_paused = self.reads_paused = False
         self.reads_paused_at = 0.0
         self.input_ended = self.refusals_paused = self.dispatch_scheduled = False
-        self.queued: deque[QueuedCommand] = deque()
+        self.queued: list[QueuedCommand] = []
         self.transport: asyncio.Transport
 
     @property
@@ -273,7 +273,7 @@
         for _ in range(MAX_COMMANDS_PER_TURN):
             if not self.queued:
                 return
-            slot, command, length = self.queued.popleft()
+            slot, command, length = self.queued.pop(0)
             self.owner.queued_bytes -= length
             self.owner.handler.handle_command(slot, command)
         self.schedule_dispatch()
