Check drains in the soak also where a server comes back, and let discovery empty its list

drained_servers_rest and changes_are_heard looked at the last state of each server, so that attempts at one that had come back by the end of the soak were never violations. They look at each period from the latest delivery of a drain or removal to the earliest of the return now. The fault "empty-list" has discovery tell a whole list without servers.

--- a/emulator/soak/environment.py
+++ b/emulator/soak/environment.py
@@ -112,6 +112,13 @@
         self.servers.remove(server)
         self.removed_servers.append(server)
 
+    def remove_all_servers(self) -> None:
+        """Removes all servers from discovery at once, by a whole list without servers; they keep running."""
+        for server in self.servers:
+            server.state = "removed"
+            self.record.state_changes.append(StateChange(server.name, "removed", time.monotonic()))
+        self.server_list.remove_all()
+
     async def monitor_scheduling_delay(self) -> None:
         """Records scheduling delays of this process, because they distort the timestamps that it takes."""
         while True:
--- a/emulator/soak/faults.py
+++ b/emulator/soak/faults.py
@@ -17,6 +17,7 @@
 MAX_PAUSE = 0.15  # seconds for which a process may be paused
 SERVER_SHARE = 0.25  # share of the servers that one fault affects
 GATEWAY_SHARE = 0.35  # share of the gateways that one fault affects
+EMPTY_LIST_DURATION = 3.0  # seconds; long enough for attempts later than the drain grace
 FLOOD_INTERVAL = 0.4  # seconds between two clients that send hundreds of commands at once
 CLOCK_STEPS = (3600.0, -3600.0, 5.0, -5.0)  # seconds
 ACCEPT_ERRORS = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED)
@@ -285,6 +286,15 @@
     return ""
 
 
+async def empty_server_list(environment: SoakEnvironment, generator: random.Random, seconds: float) -> str:
+    """Has discovery tell a whole list without servers, and the servers again some seconds later."""
+    environment.remove_all_servers()
+    await asyncio.sleep(EMPTY_LIST_DURATION)
+    for server in environment.servers:
+        environment.set_server_state(server, "up")
+    return ""
+
+
 async def flood_commands(environment: SoakEnvironment, generator: random.Random, seconds: float) -> str:
     """Runs clients that send hundreds of commands at once and leave."""
     until = asyncio.get_running_loop().time() + seconds
@@ -318,6 +328,7 @@
     "discovery-cut": discovery_proxy_fault(ProxyFault.PARTITIONED),
     "discovery-resets": discovery_proxy_fault(ProxyFault.RESET),
     "discovery-half": discovery_proxy_fault(ProxyFault.TRUNCATED),
+    "empty-list": empty_server_list,
     "watch-stalls": discovery_proxy_fault(ProxyFault.STALLED),
     "discovery-pieces": discovery_proxy_fault(ProxyFault.FRAGMENTED),
     "counter-cut": counter_proxy_fault(ProxyFault.PARTITIONED),
--- a/emulator/soak/invariants.py
+++ b/emulator/soak/invariants.py
@@ -5,7 +5,7 @@
 import math
 import re
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Hashable, Iterable, Iterator
 from dataclasses import dataclass
 
 from emulator.real.processes import READY_TIMEOUT
@@ -207,27 +207,72 @@
             )
 
 
+@dataclass(slots=True)
+class UnavailablePeriod:
+    """The time from the latest delivery of a drain or removal to the earliest of the server's return."""
+
+    start: float
+    end: float = math.inf
+
+
+def unavailable_periods(
+    changes: Iterable[tuple[Hashable, str, float, float]],
+) -> dict[Hashable, list[UnavailablePeriod]]:
+    """Returns the periods in which a server must not be sent to, by the key of its changes.
+
+    Args:
+        changes: a key, a state, and the earliest and the latest time of its delivery, in the order sent.
+    """
+    periods: dict[Hashable, list[UnavailablePeriod]] = {}
+    for key, state, earliest, latest in changes:
+        previous = periods.setdefault(key, [])
+        is_unavailable = bool(previous) and previous[-1].end == math.inf
+        if state == "up" and is_unavailable:
+            previous[-1].end = earliest
+        elif state != "up" and not is_unavailable:
+            previous.append(UnavailablePeriod(latest))
+    return periods
+
+
+def seconds_too_late(
+    record: SoakRecord, received_at: float, periods: Iterable[UnavailablePeriod]
+) -> float | None:
+    """Returns how long before an attempt its server had become unavailable, if the drain grace was over."""
+    for period in periods:
+        late = received_at - period.start
+        if (
+            late > DRAIN_GRACE
+            and received_at < period.end
+            and late > DRAIN_GRACE + tolerance(record, period.start, received_at)
+        ):
+            return late
+    return None
+
+
 def drained_servers_rest(record: SoakRecord) -> Iterator[Violation]:
     """A gateway stops sending to a server within the drain grace after it received the drain or removal."""
-    delivered_at: dict[tuple[int, int, str], float] = {}
-    for delivery in sorted(record.state_deliveries, key=lambda delivery: delivery.delivered_at):
-        key = (delivery.gateway, delivery.run_number, delivery.server)
-        if delivery.state == "up":
-            delivered_at.pop(key, None)
-        else:
-            delivered_at.setdefault(key, delivery.delivered_at)
+    periods = unavailable_periods(
+        (
+            (delivery.gateway, delivery.run_number, delivery.server),
+            delivery.state,
+            delivery.written_at,
+            delivery.delivered_at,
+        )
+        for delivery in record.state_deliveries
+    )
     requests = requests_by_id(record)
     for attempt in record.attempts:
         request = requests.get(attempt.id)
         if request is None:
             continue
-        at = delivered_at.get((request.gateway, request.run_number, attempt.server), math.inf)
-        if attempt.received_at > at + DRAIN_GRACE + tolerance(record, at, attempt.received_at):
+        key = (request.gateway, request.run_number, attempt.server)
+        late = seconds_too_late(record, attempt.received_at, periods.get(key, ()))
+        if late is not None:
             subject = f"{describe_request(request)} server {attempt.server}"
             yield Violation(
                 "drained_servers_rest",
                 attempt.received_at,
-                f"{subject}: {attempt.received_at - at:.3f} s after the gateway received it",
+                f"{subject}: {late:.3f} s after the gateway received it",
             )
 
 
@@ -248,23 +293,20 @@
 
     Unlike `drained_servers_rest` this also covers a gateway that never received the change.
     """
-    unavailable_from: dict[str, float] = {}
-    for change in record.state_changes:
-        if change.state == "up":
-            unavailable_from.pop(change.server, None)
-        else:
-            unavailable_from.setdefault(change.server, latest_delivery(record, change.changed_at))
+    periods = unavailable_periods(
+        (change.server, change.state, change.changed_at, latest_delivery(record, change.changed_at))
+        for change in record.state_changes
+    )
     requests = requests_by_id(record)
     for attempt in record.attempts:
-        request, at = requests.get(attempt.id), unavailable_from.get(attempt.server, math.inf)
-        if request is not None and attempt.received_at > at + DRAIN_GRACE + tolerance(
-            record, at, attempt.received_at
-        ):
+        request = requests.get(attempt.id)
+        late = seconds_too_late(record, attempt.received_at, periods.get(attempt.server, ()))
+        if request is not None and late is not None:
             subject = f"{describe_request(request)} server {attempt.server}"
             yield Violation(
                 "changes_are_heard",
                 attempt.received_at,
-                f"{subject}: {attempt.received_at - at:.3f} s after the latest delivery",
+                f"{subject}: {late:.3f} s after the latest delivery",
             )
 
 
--- a/emulator/soak/record.py
+++ b/emulator/soak/record.py
@@ -71,12 +71,18 @@
 
 @dataclass(slots=True)
 class StateDelivery:
-    """A change of a server's state that was written to a gateway's discovery connection."""
+    """A change of a server's state that was written to a gateway's discovery connection.
+
+    Attributes:
+        written_at: when it was written, in monotonic seconds; the gateway cannot have learned of it before.
+        delivered_at: when it counts as delivered, which is later where a proxy may have dropped it.
+    """
 
     gateway: int
     run_number: int
     server: str
     state: str
+    written_at: float
     delivered_at: float
 
 
--- a/emulator/soak/standins.py
+++ b/emulator/soak/standins.py
@@ -179,26 +179,45 @@
 
 
 class SoakServerList:
-    """Discovery's server list with its versions."""
+    """Discovery's server list with its versions.
+
+    Attributes:
+        changes: the entry that changed with each version after the first.
+        first_change_version: clients with an older version get the whole list.
+        omitted: ids that a whole list leaves out to remove them.
+    """
 
     def __init__(self) -> None:
         self.version, self.changes = 1, list[dict[str, Any]]()
         self.entries: dict[str, dict[str, Any]] = {}
+        self.first_change_version, self.omitted = 1, set[str]()
         self.version_changed = asyncio.Event()
 
     def apply_change(self, entry: dict[str, Any]) -> None:
         """Applies a changed or new entry, which creates a version, and wakes waiting calls."""
-        self.version += 1
-        self.changes.append(entry)
         if entry["state"] == "removed":
             self.entries.pop(entry["id"], None)
         else:
             self.entries[entry["id"]] = entry
+            self.omitted.discard(entry["id"])
+        self.add_version(entry)
+
+    def remove_all(self) -> None:
+        """Removes all servers in one version, of which a client learns by a whole list without servers."""
+        self.omitted |= set(self.entries)
+        self.entries.clear()
+        self.first_change_version = self.version + 1
+        self.add_version({})
+
+    def add_version(self, change: dict[str, Any]) -> None:
+        """Adds a version with its change, and wakes waiting calls."""
+        self.version += 1
+        self.changes.append(change)
         version_changed, self.version_changed = self.version_changed, asyncio.Event()
         version_changed.set()
 
     async def respond(self, query: dict[str, str]) -> tuple[bytes, list[dict[str, Any]]]:
-        """Returns the response body for a call and the entries in it, after the requested wait."""
+        """Returns the response body for a call and the changes that it tells, after the requested wait."""
         client_version = int(query.get("index", 0))
         if client_version == self.version:
             try:
@@ -206,9 +225,12 @@
                     await self.version_changed.wait()
             except TimeoutError:
                 pass
-        full = not 0 < client_version <= self.version
-        servers = list(self.entries.values()) if full else self.changes[client_version - 1 :]
-        return self.encode_list(full, servers), servers
+        if self.first_change_version <= client_version <= self.version:
+            servers = self.changes[client_version - 1 :]
+            return self.encode_list(False, servers), servers
+        servers = list(self.entries.values())
+        removed = [{"id": server_id, "state": "removed"} for server_id in self.omitted]
+        return self.encode_list(True, servers), servers + removed
 
     def encode_list(self, full: bool, servers: list[dict[str, Any]]) -> bytes:
         """Returns a server list as JSON."""
@@ -240,10 +262,11 @@
     def record_delivery(self, servers: list[dict[str, Any]]) -> None:
         """Records server states as delivered: now, or MAX_DISCOVERY_DELAY later if a proxy may drop them."""
         is_reachable = all(proxy.fault in (ProxyFault.NONE, ProxyFault.FRAGMENTED) for proxy in self.proxies)
-        at, run_number = time.monotonic() + (0.0 if is_reachable else MAX_DISCOVERY_DELAY), self.current_run()
+        written_at, run_number = time.monotonic(), self.current_run()
+        delivered_at = written_at + (0.0 if is_reachable else MAX_DISCOVERY_DELAY)
         for entry in servers:
             self.record.state_deliveries.append(
-                StateDelivery(self.gateway, run_number, entry["id"], entry["state"], at)
+                StateDelivery(self.gateway, run_number, entry["id"], entry["state"], written_at, delivered_at)
             )
 
     def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,13 @@
 import pytest
 
 from emulator.soak.gateways import SoakGateway
-from emulator.soak.invariants import INVARIANT_CHECKS
+from emulator.soak.invariants import (
+    INVARIANT_CHECKS,
+    UnavailablePeriod,
+    seconds_too_late,
+    unavailable_periods,
+)
+from emulator.soak.record import SoakRecord
 from emulator.soak.runner import SoakOptions, run_soak
 from emulator.soak.sabotage import SABOTAGES
 
@@ -40,6 +46,18 @@
         run_soak(SoakOptions(gateways=1, seconds=0.0))
 
 
+def test_server_that_returns_is_unavailable_until_then():
+    # Guards against checks of drains that overlook each server that has come back by the end of the soak.
+    changes = [("s", "draining", 1.0, 7.0), ("s", "removed", 2.0, 2.0), ("s", "up", 9.0, 15.0)]
+    assert unavailable_periods(changes)["s"] == [UnavailablePeriod(7.0, 9.0)]
+    changes += [("s", "removed", 20.0, 20.0), ("t", "up", 3.0, 3.0)]
+    assert unavailable_periods(changes)["s"][1:] == [UnavailablePeriod(20.0)]
+    assert unavailable_periods(changes)["t"] == []
+    record = SoakRecord(started_at=0.0)
+    for received_at, late in ((7.5, None), (8.5, 1.5), (9.5, None), (20.5, None), (22.0, 2.0)):
+        assert seconds_too_late(record, received_at, unavailable_periods(changes)["s"]) == late
+
+
 def test_each_invariant_check_has_a_sabotage():
     assert set(SABOTAGES) == {check.__name__ for check in INVARIANT_CHECKS}
 
