--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,9 +13,9 @@
 import harness  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-SENDERS = 32  # bad clients that send
+SENDERS = 40  # bad clients that send
 COMMANDS_AT_ONCE = 400  # the page: "hundreds of commands at once"
-SILENT = 300  # the page: "others connect by hundreds and say nothing"
+SILENT = 400  # the page: "others connect by hundreds and say nothing"
 QUIET, TROUBLED = 2.0, 12.0  # seconds
 RATE = 10.0  # usual requests a second on kept connections, and as many on new ones
 TOLD_SLACK = 0.15 + harness.SOCKET_SLACK
