Keep clients' commands as they came until their turn, and limit the memory they take

Cause: commands were parsed as they were read and the objects kept until their turn, while the limit on queued commands counted bytes on the wire. An error line of 4 bytes is an object of about 150 bytes.

Change: a command stays encoded until its turn. Besides its bytes a constant for its slot counts for the limit until its response is written, and so do responses that wait for others. A connection with a pending command may fill three quarters of the limit; the rest is for first commands on other connections.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -12,7 +12,12 @@
 from time import monotonic
 from typing import Any
 
-from calicomast.net.client_connection import MIN_PARTIAL_COMMAND_TIME, ClientConnection, CloseReason
+from calicomast.net.client_connection import (
+    MIN_PARTIAL_COMMAND_TIME,
+    PENDING_COMMAND_BYTES,
+    ClientConnection,
+    CloseReason,
+)
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.listener import Listener
 from calicomast.rules import Verdict
@@ -31,6 +36,9 @@
 # Commands over the limit of their connections that are refused between two of these checks, on all of them
 # together. It bounds the CPU that they take; reading is paused beyond it.
 MAX_REFUSALS_PER_POLL = 8192
+# Part of the memory for pending commands that connections with a pending command already may fill together.
+# The rest is for the first commands on other connections.
+SHARE_FOR_FURTHER_COMMANDS = 0.75
 MAX_EVICTION_CANDIDATES = 64  # idle connections checked for unread bytes when one has to be evicted
 MAX_REJECTED_CONNECTIONS = 16  # rejected connections that wait for their client to close
 
@@ -43,7 +51,7 @@
             called for each pending command of a client that has disconnected.
         max_connections: limit of connections.
         max_partial_bytes: limit of bytes of partial commands on all connections together; also, separately,
-            of commands that were read and not handed to the handler yet.
+            of the memory of pending commands.
         events: counts and logs closed connections.
 
     Attributes:
@@ -55,6 +63,7 @@
         rejected: connections over the limit that have been sent an error, oldest first.
         reading_paused: connections whose reading is paused.
         queued_bytes: bytes of commands that were read and not handed to the handler yet.
+        pending_bytes: memory of pending commands and their responses, without the commands' own bytes.
         refusals: commands over the limit of their connections that were refused since the last check.
     """
 
@@ -62,7 +71,7 @@
         self.handler = handler
         self.max_connections = max_connections
         self.max_partial_bytes = max_partial_bytes
-        self.partial_bytes = self.queued_bytes = self.refusals = 0
+        self.partial_bytes = self.queued_bytes = self.pending_bytes = self.refusals = 0
         self.events = events
         self.numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
@@ -178,9 +187,11 @@
             self.partial_commands.setdefault(connection, connection.partial_since)
         return not partial_bytes or self.partial_bytes <= self.max_partial_bytes
 
-    def may_queue(self, length: int) -> bool:
-        """Whether a command of this size may be queued until the handler takes it."""
-        return not self.queued_bytes or self.queued_bytes + length <= self.max_partial_bytes
+    def may_queue(self, connection: ClientConnection, length: int) -> bool:
+        """Whether a command of `length` bytes on the wire may be kept until its response is written."""
+        held = self.queued_bytes + self.pending_bytes
+        limit = self.max_partial_bytes * (SHARE_FOR_FURTHER_COMMANDS if connection.pending else 1.0)
+        return not held or held + length + PENDING_COMMAND_BYTES <= limit
 
     def record_refusal(self, connection: ClientConnection) -> None:
         """Counts a command that was refused unparsed; too many of them pause reading until the next check."""
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -50,20 +50,24 @@
         An error reply is returned as a hiredis.ReplyError. Raises FramingError.
         """
         length = self.message_length()
-        return self.take(length) if length else NO_MESSAGE
+        return self.parse(self.take(length)) if length else NO_MESSAGE
 
-    def take(self, length: int) -> Any:
-        """Returns the first message, whose length is known, as `next_message` does. Raises FramingError."""
+    def take(self, length: int) -> bytes:
+        """Removes and returns the first message, whose length is known, without parsing it."""
+        encoded = bytes(self.buffer[:length])
+        self.skip(length)
+        return encoded
+
+    def parse(self, encoded: bytes) -> Any:
+        """Parses one whole message that `take` returned, as `next_message` does. Raises FramingError."""
         try:
-            self.reader.feed(bytes(self.buffer[:length]))
-            message = self.reader.gets()
+            self.reader.feed(encoded)
+            return self.reader.gets()
         except (hiredis.ProtocolError, MemoryError) as err:
             raise FramingError(str(err)) from err
-        self.skip(length)
-        return message
 
     def skip(self, length: int) -> None:
-        """Removes the first message, whose length is known, without parsing it."""
+        """Removes the first message, whose length is known."""
         del self.buffer[:length]
         self.position, self.items_left = 0, 1
 
