Count all parts of an active request's command for the limit on held commands

Callers would see a gateway over its memory limit: only the last part of a command counted, the body of a write, so a list of names and values of up to 64 KiB beside a short body was held uncounted, in up to 20,000 active requests.

Change: the size of all parts is kept with the request and counted.

Evidence: the new test failed before (the second request was served in place of being refused) and passes now.

--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -47,7 +47,7 @@
 
 # Memory, in bytes.
 BASE_MEMORY_BYTES = 40 * 1024 * 1024  # used by the process itself, with some reserve
-MIN_HELD_BYTES = 4 * 1024 * 1024  # lower bound of the limits for request bodies and for incomplete commands
+MIN_HELD_BYTES = 4 * 1024 * 1024  # lower bound of the limits for commands of each kind
 MIN_SERVER_LIST_BYTES = 1024 * 1024  # lower bound of the size limit of a server list
 SERVER_LIST_MEMORY_DIVISOR = 4  # the text of a server list may take this part of the memory above the base
 
@@ -87,7 +87,7 @@
         self.loop = asyncio.get_running_loop()
         self.policy = GatewayPolicy(config.settings, config.seed, self.clock())
         self.active_requests: dict[str, ActiveRequest] = {}
-        self.held_body_bytes = 0  # of active requests
+        self.held_command_bytes = 0  # of active requests
         self.events: deque[api.Event] = deque()
         self.dispatching = False  # whether submit_event is processing queued events
         self.ready = False  # whether there has been a server to send to
@@ -101,8 +101,8 @@
             min(longest, MAX_DEADLINE_BEFORE_KILL) + KILL_GRACE - min(KILL_MARGIN, longest / 2)
         )
         descriptors = max(config.max_sockets - RESERVED_DESCRIPTORS, config.max_sockets // 2)
-        # Limits request bodies and, separately, incomplete commands: above its memory limit the process is
-        # killed.
+        # Limits the commands of requests and, separately, pending and incomplete commands: above its memory
+        # limit the process is killed.
         self.max_held_bytes = max(MIN_HELD_BYTES, (config.memory_limit - BASE_MEMORY_BYTES) // 4)
         self.clients = ClientConnections(self, descriptors // 2, self.max_held_bytes, self.event_log)
         self.server_table = ServerTable(
@@ -310,8 +310,8 @@
             shutting_down=self.refusing,
             active_requests=len(self.active_requests),
             max_active_requests=self.config.max_active_requests,
-            body_bytes=self.held_body_bytes,
-            max_body_bytes=self.max_held_bytes,
+            command_bytes=self.held_command_bytes,
+            max_command_bytes=self.max_held_bytes,
         )
         if verdict is not Verdict.ALLOWED:
             self.event_log.count(EventKind.REQUEST_REFUSED, verdict.value)
@@ -323,7 +323,7 @@
             now + min(request.remaining_time + RESPONSE_MARGIN, self.longest_deadline) + LATE_ANSWER_GRACE
         )
         self.active_requests[request.id] = active_request
-        self.held_body_bytes += len(command[-1])
+        self.held_command_bytes += active_request.command_bytes
         active_request.deadline_timer = self.loop.call_later(
             max(0.0, request.remaining_time + RESPONSE_MARGIN - DEADLINE_GUARD_MARGIN),
             self.fail_overdue,
@@ -361,7 +361,7 @@
         """Removes a request that has been answered and has no attempt left."""
         if request.finished and not request.active_attempts and self.active_requests.pop(request.id, None):
             request.transition_to(RequestState.REMOVED)
-            self.held_body_bytes -= len(request.command[-1])
+            self.held_command_bytes -= request.command_bytes
 
     def log_request_end(self, kind: EventKind, reason: str, request: ActiveRequest) -> None:
         """Logs why a request was refused or failed."""
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -34,6 +34,7 @@
 
     Attributes:
         command: the client's command, sent to servers with its deadline rewritten.
+        command_bytes: total size of the parts of the command.
         deadline: time on the monotonic clock by which the policy has to finish the request.
         deadline_timer: fails the request if the policy has not finished it in time.
         attempts_created: attempts that the policy has decided on, which are numbered in this order.
@@ -45,6 +46,7 @@
         "id",
         "slot",
         "command",
+        "command_bytes",
         "deadline",
         "deadline_timer",
         "attempts_created",
@@ -55,6 +57,7 @@
 
     def __init__(self, id: str, slot: ResponseSlot, command: list[bytes], deadline: float) -> None:
         self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
+        self.command_bytes = sum([len(part) for part in command])
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.attempts_created = self.attempts_written = 0
         self.active_attempts: dict[int, Attempt] = {}
--- a/calicomast/rules.py
+++ b/calicomast/rules.py
@@ -107,8 +107,8 @@
     shutting_down: bool,
     active_requests: int,
     max_active_requests: int,
-    body_bytes: int,
-    max_body_bytes: int,
+    command_bytes: int,
+    max_command_bytes: int,
 ) -> Verdict:
     """Decides whether a new request may be accepted.
 
@@ -116,12 +116,12 @@
         shutting_down: whether the gateway no longer accepts requests.
         active_requests: number of requests without a final answer.
         max_active_requests: limit of `active_requests`.
-        body_bytes: total size of the bodies of the active requests.
-        max_body_bytes: limit of `body_bytes`.
+        command_bytes: total size of the commands of the active requests.
+        max_command_bytes: limit of `command_bytes`.
     """
     if shutting_down:
         return Verdict.SHUTTING_DOWN
-    if active_requests >= max_active_requests or body_bytes > max_body_bytes:
+    if active_requests >= max_active_requests or command_bytes > max_command_bytes:
         return Verdict.CAPACITY_EXCEEDED
     return Verdict.ALLOWED
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -217,7 +217,7 @@
                     await writer.drain()
             while harness.service.clients.connections:
                 await asyncio.sleep(0.01)
-            assert not (harness.service.active_requests or harness.service.held_body_bytes)
+            assert not (harness.service.active_requests or harness.service.held_command_bytes)
 
 
 @on_loop
@@ -489,7 +489,7 @@
         client.close()
         while harness.service.active_requests or harness.service.clients.connections:
             await asyncio.sleep(0)
-        assert not (harness.service.clients.queued_bytes or harness.service.held_body_bytes)
+        assert not (harness.service.clients.queued_bytes or harness.service.held_command_bytes)
 
 
 @on_loop
@@ -528,6 +528,24 @@
         assert 0 < largest <= 100_000 and counts[refused] and not client_connections.queued_bytes
 
 
+@on_loop
+async def test_all_parts_of_the_commands_of_active_requests_are_limited(tmp_path):
+    # Guards against requests whose list of fields is long and did not count for the limit, only their body.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        policy, harness.service.policy = harness.service.policy, SilentPolicy()
+        harness.service.max_held_bytes = 50_000
+        long_fields = command_fields(c="note") + b",x=" + b"x" * 60_000
+        _, writer = await harness.connect()
+        writer.write(command(b"long", long_fields, b"API.WRITE", body=b"BODY"))
+        while not harness.service.active_requests:
+            await asyncio.sleep(0)
+        harness.service.policy = policy
+        assert await harness.send_command(command(b"refused")) == b"-BUSY\r\n"
+        harness.service.abort_request(harness.service.active_requests["long"], "test")
+        assert not harness.service.held_command_bytes
+        assert await harness.send_command(command(b"served")) == CLIENT_REPLY
+
+
 @on_loop
 async def test_disconnect_with_unread_responses_ends_pending_requests(tmp_path, monkeypatch):
     """The written responses can't be flushed, so connection_lost() is not called for a while yet."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -51,18 +51,18 @@
 
 
 def test_requests_are_accepted_until_shutdown_or_a_limit():
-    def accept(shutting_down=False, active_requests=0, body_bytes=0):
+    def accept(shutting_down=False, active_requests=0, command_bytes=0):
         return rules.may_accept_request(
             shutting_down=shutting_down,
             active_requests=active_requests,
             max_active_requests=2,
-            body_bytes=body_bytes,
-            max_body_bytes=100,
+            command_bytes=command_bytes,
+            max_command_bytes=100,
         )
 
-    assert accept() is accept(active_requests=1, body_bytes=100) is Verdict.ALLOWED
+    assert accept() is accept(active_requests=1, command_bytes=100) is Verdict.ALLOWED
     assert accept(shutting_down=True) is Verdict.SHUTTING_DOWN
-    assert accept(active_requests=2) is accept(body_bytes=101) is Verdict.CAPACITY_EXCEEDED
+    assert accept(active_requests=2) is accept(command_bytes=101) is Verdict.CAPACITY_EXCEEDED
 
 
 def test_connection_may_close_without_pending_response_or_unread_input():
