Share the event loop's time fairly between clients' input, and limit it in each turn

Cause: what is handled of a connection in a turn of the event loop was limited by a number of commands, not by the time that they take, and libuv reads up to 32 times from a connection in a turn. parse_request split a list of any length.

Change: input is split into commands and commands are dispatched in short steps, round robin over the connections, each within 2 ms of a turn (FairQueue). A connection is read in pieces of 16 KiB and not read on until a piece is split. A list of over 64 fields is refused unsplit.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -15,10 +15,12 @@
 from calicomast.net.client_connection import (
     MIN_PARTIAL_COMMAND_TIME,
     PENDING_COMMAND_BYTES,
+    READ_SIZE,
     ClientConnection,
     CloseReason,
 )
 from calicomast.net.events import EventKind, EventLog
+from calicomast.net.fair_queue import FairQueue
 from calicomast.net.listener import Listener
 from calicomast.rules import Verdict
 
@@ -36,6 +38,10 @@
 # Commands over the limit of their connections that are refused between two of these checks, on all of them
 # together. It bounds the CPU that they take; reading is paused beyond it.
 MAX_REFUSALS_PER_POLL = 8192
+# Seconds in one turn of the event loop, for all connections together: for splitting input into commands, and
+# for handling these. Splitting has a time of its own: the end of a client's input lies behind its commands.
+SPLITTING_TIME_PER_TURN = 0.002
+DISPATCHING_TIME_PER_TURN = 0.002
 # Part of the memory for pending commands that connections with a pending command already may fill together.
 # The rest is for the first commands on other connections.
 SHARE_FOR_FURTHER_COMMANDS = 0.75
@@ -65,6 +71,9 @@
         queued_bytes: bytes of commands that were read and not handed to the handler yet.
         pending_bytes: memory of pending commands and their responses, without the commands' own bytes.
         refusals: commands over the limit of their connections that were refused since the last check.
+        read_buffer: takes the bytes that are read, on whatever connection, until these are copied.
+        splitting: connections whose input is split into commands.
+        dispatching: connections with queued commands.
     """
 
     def __init__(self, handler: Any, max_connections: int, max_partial_bytes: int, events: EventLog) -> None:
@@ -82,6 +91,9 @@
         self.dropped: set[ClientConnection] = set()
         self.rejected: dict[ClientConnection, None] = {}
         self.reading_paused: set[ClientConnection] = set()
+        self.read_buffer = memoryview(bytearray(READ_SIZE))
+        self.splitting = FairQueue(ClientConnection.split_input, SPLITTING_TIME_PER_TURN)
+        self.dispatching = FairQueue(ClientConnection.dispatch_commands, DISPATCHING_TIME_PER_TURN)
         self.listener: Listener | None = None
         # When the next disconnect poll is due, when the last one ran, and by how many seconds that was late.
         self.next_poll_at = self.last_poll_at = self.last_poll_lag = 0.0
@@ -141,7 +153,7 @@
                 connection.transport.is_closing()
                 or recent_partial
                 or connection.unsent_bytes()
-                or connection.has_unread_bytes()
+                or connection.has_unread_input()
             ):
                 connection.drop(CloseReason.EVICTED)
                 return True
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -40,7 +40,7 @@
         self.position, self.items_left = 0, 1
         self.reader = hiredis.Reader()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Appends received bytes to the buffer."""
         self.buffer += data
 
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -22,6 +22,7 @@
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 TENANT_PATTERN = re.compile(rb"[0-9a-fA-F]{16}")
 TENANT_LIMIT = 2**33  # tenant numbers are below this
+MAX_FIELDS = 64  # the protocol has eight; splitting a list takes time and memory for each of its fields
 NAME_PATTERN = re.compile(rb"[!-~]{1,64}")  # request ids and idempotency keys
 
 
@@ -130,6 +131,8 @@
     `elapsed` is the time in seconds to subtract from the client's remaining time.
     """
     verb, tenant, request_id, encoded_fields = command[:4]
+    if encoded_fields.count(b",") >= MAX_FIELDS:
+        raise BadRequest("too many fields")
     pairs = [field.split(b"=", 1) for field in encoded_fields.split(b",")]
     try:
         fields = dict(pairs)
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -40,6 +40,11 @@
 ERROR_LINE_CLIENTS = 64
 ERROR_LINE_COMMANDS = 500  # of one client
 ERROR_LINE_MEMORY_MB = 96  # the limit of the gateway
+COSTLY_CLIENTS = 3
+COSTLY_COMMANDS = 200  # of one client at once
+USUAL_REQUESTS = 20  # beside them
+USUAL_DEADLINE_MS = 750
+LATE_ANSWER = 0.55  # seconds after its deadline in which an answer of a request only earns nothing
 PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
 
 
@@ -113,6 +118,36 @@
             assert process_usage(process.pid).peak_kb < ERROR_LINE_MEMORY_MB * 1024
 
 
+@on_loop
+async def test_costly_commands_do_not_keep_other_clients_from_their_answers(tmp_path):
+    # Guards against requests that are never answered, as commands were limited by count and not by time.
+    async def send_costly_commands(port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while True:
+            writer.write(command(fields=b"," * 64_000) * COSTLY_COMMANDS)
+            for _ in range(COSTLY_COMMANDS):
+                assert (await read_reply(reader)).startswith((b"-ERR", b"-BUSY"))
+
+    async def send_request(reader, writer, number):
+        writer.write(command(b"r%d" % number, command_fields(d=USUAL_DEADLINE_MS)))
+        async with asyncio.timeout(USUAL_DEADLINE_MS / 1000 + LATE_ANSWER):
+            assert await read_reply(reader) == CLIENT_REPLY
+
+    async with StubServer() as server, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [server_entry(server)]
+        config = gateway_config(discovery.servers, discovery.port, counter.port)
+        async with run_gateway(config, tmp_path) as (_, port), asyncio.TaskGroup() as tasks:
+            usual = [await asyncio.open_connection("127.0.0.1", port) for _ in range(USUAL_REQUESTS)]
+            costly = [tasks.create_task(send_costly_commands(port)) for _ in range(COSTLY_CLIENTS)]
+            requests = []
+            for number, (reader, writer) in enumerate(usual):
+                await asyncio.sleep(0.05)
+                requests.append(tasks.create_task(send_request(reader, writer, number)))
+            await asyncio.wait(requests)
+            for task in costly:
+                task.cancel()
+
+
 @on_loop
 async def test_memory_stays_bounded_under_many_commands_sent_at_once(tmp_path):
     # Guards against commands over a connection's limit that are kept until those before are answered.
