Accept up to 32 connections a turn, and count the time they wait in the accept queue

Cause: one connection was accepted in a turn of the event loop, whose length had no limit, and the wait in the accept queue counted only while calls of accept failed.

Change: up to 32 connections are accepted in a turn; turns are short since the time for clients' input is limited. The wait is bounded from the queue's length, which TCP_INFO tells, as the queue is first in, first out; this replaces the time since accept began to fail. The time until an accepted connection is set up counts too.

test_idle_timeout_counts_from_connect_when_accept_has_failed sets the start of the failures at its new place.

--- a/calicomast/net/listener.py
+++ b/calicomast/net/listener.py
@@ -14,9 +14,14 @@
 from collections.abc import Callable
 from time import monotonic
 
+from calicomast.net.accept_queue import AcceptQueueWait
+from calicomast.net.socket_state import accept_queue_length
+
 BACKLOG = 1024  # connections that may wait in the accept queue
 MIN_PAUSE = 0.005  # seconds after a failed accept; doubles with each further failure
 MAX_PAUSE = 0.05  # seconds
+# Connections accepted in one turn of the event loop, so that commands of earlier ones have their turn.
+MAX_ACCEPTS_PER_TURN = 32
 FINAL_ACCEPT_TIMEOUT = 0.3  # seconds for which close() retries accept calls that fail
 
 log = logging.getLogger(__name__)
@@ -27,7 +32,7 @@
 
     Args:
         make_protocol: makes the protocol of a new connection. Its argument is the longest time, in seconds,
-            that the connection may have waited because accept failed.
+            that the connection may have waited because accept failed or many others were before it.
         on_accept_error: called after each failed accept call.
     """
 
@@ -42,8 +47,7 @@
         self._attaching: set[asyncio.Task[None]] = set()
         self._pause = MIN_PAUSE
         self._resume_timer: asyncio.TimerHandle | None = None
-        # Start of the current run of failures; connections in the queue may have come at any time since.
-        self._failing_since: float | None = None
+        self.queue_wait = AcceptQueueWait(self._queue_length)
         self.failures = 0  # failed accept calls
 
     def open(self, host: str, port: int) -> int:
@@ -94,13 +98,12 @@
         return True
 
     def _on_readable(self) -> None:
-        """Accepts one connection per turn of the event loop, so that commands of earlier ones start first.
-
-        After a failure it accepts the whole queue, so that it is known which connections waited through it.
-        """
+        """Accepts waiting connections, but not too many in one turn of the event loop."""
         try:
-            while self._accept_one() and self._failing_since is not None:
-                pass
+            for _ in range(MAX_ACCEPTS_PER_TURN):
+                if not self._accept_one():
+                    return
+            self.queue_wait.not_emptied(monotonic())
         except OSError as err:
             self._record_failure(err)
             self._stop_reading()
@@ -113,19 +116,25 @@
         try:
             accepted, _ = self._socket.accept()
         except BlockingIOError:
-            self._failing_since = None
+            self.queue_wait.emptied()
             return False
         self._pause = MIN_PAUSE
-        waited = monotonic() - self._failing_since if self._failing_since is not None else 0.0
-        task = self._loop.create_task(self._attach_protocol(accepted, waited))
+        accepted_at = monotonic()
+        came_at = accepted_at - self.queue_wait.accepted(accepted_at)
+        task = self._loop.create_task(self._attach_protocol(accepted, came_at))
         self._attaching.add(task)
         task.add_done_callback(self._attaching.discard)
         return True
 
-    async def _attach_protocol(self, accepted: socket.socket, waited: float) -> None:
-        """Connects an accepted socket to a new protocol; closes the socket if that fails."""
+    async def _attach_protocol(self, accepted: socket.socket, came_at: float) -> None:
+        """Connects an accepted socket, which came at this time or later, to a new protocol.
+
+        Closes the socket if that fails.
+        """
         try:
-            await self._loop.connect_accepted_socket(lambda: self._make_protocol(waited), accepted)
+            await self._loop.connect_accepted_socket(
+                lambda: self._make_protocol(monotonic() - came_at), accepted
+            )
         except Exception:  # one connection must not stop the listener
             log.exception("failed to set up an accepted connection")
             accepted.close()
@@ -133,10 +142,15 @@
     def _record_failure(self, err: OSError) -> None:
         """Counts a failed accept call and reports it."""
         self.failures += 1
-        if self._failing_since is None:
-            self._failing_since = monotonic()
+        self.queue_wait.not_emptied(monotonic())
         self._on_accept_error(err)
 
+    def _queue_length(self) -> int:
+        """Returns how many connections wait in the accept queue, or the most that may."""
+        assert self._socket is not None
+        length = accept_queue_length(self._socket)
+        return BACKLOG if length is None else length
+
     def _stop_reading(self) -> None:
         """Stops watching the socket, or cancels the timer that would start that again."""
         if self._resume_timer is not None:
--- a/calicomast/net/socket_state.py
+++ b/calicomast/net/socket_state.py
@@ -4,10 +4,15 @@
 
 import fcntl
 import select
+import socket
+import struct
 import sys
 import termios
 
 C_INT_BYTES = 4  # size of the number that an ioctl call fills in
+TCP_INFO_STATE = struct.Struct("B")  # the beginning of struct tcp_info
+TCP_INFO_QUEUED = struct.Struct("24xI")  # its tcpi_unacked, the length of the accept queue if it listens
+TCP_LISTEN_STATE = 10  # of enum tcp_state in the Linux headers
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -32,6 +37,16 @@
     return int.from_bytes(fcntl.ioctl(descriptor, request, bytes(C_INT_BYTES)), sys.byteorder)
 
 
+def accept_queue_length(listening: socket.socket) -> int | None:
+    """Returns how many connections wait in the accept queue, or None if the system does not tell."""
+    try:
+        info = listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_QUEUED.size)
+        (state,), (queued,) = TCP_INFO_STATE.unpack_from(info), TCP_INFO_QUEUED.unpack_from(info)
+    except (OSError, struct.error):
+        return None
+    return queued if state == TCP_LISTEN_STATE else None
+
+
 def disconnect_events(descriptor: int) -> int:
     """Returns which of DISCONNECT_EVENTS the socket reports now; 0 while the other side has not closed.
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -24,6 +24,10 @@
 from calicomast.net.requests import MAX_FIELDS
 from calicomast.rules import Verdict
 
+SILENT_CLIENTS = 200
+BUSY_TURN = 0.01  # seconds that a turn of the event loop takes while many clients are busy
+LATE_ANSWER = 0.55  # seconds after its deadline in which an answer of a request only earns nothing
+
 
 @pytest.mark.parametrize(
     "bad",
@@ -644,6 +648,21 @@
         assert await read_to_end(client) == CLIENT_REPLY * 2
 
 
+@on_loop
+async def test_request_behind_many_connections_in_the_accept_queue_is_answered_in_time(tmp_path):
+    # Guards against first requests that wait for seconds, as one connection is accepted in a turn.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        silent = [socket.create_connection(("127.0.0.1", harness.port)) for _ in range(SILENT_CLIENTS)]
+        client = connect_and_send(harness, command(fields=command_fields(d="750")))
+        sent_at, answer = time.monotonic(), asyncio.create_task(receive(client, len(CLIENT_REPLY)))
+        while not answer.done():
+            time.sleep(BUSY_TURN)
+            await asyncio.sleep(0)
+        assert answer.result() == CLIENT_REPLY and time.monotonic() - sent_at < 0.75 + LATE_ANSWER
+        for connection in (client, *silent):
+            connection.close()
+
+
 @on_loop
 async def test_connections_in_accept_queue_are_served_at_shutdown(tmp_path):
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
@@ -746,7 +765,7 @@
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         client_connections = harness.service.clients
         before = time.monotonic()
-        client_connections.listener._failing_since = before - 1.0  # accept calls have failed for 1 s
+        client_connections.listener.queue_wait.not_emptied(before - 1.0)  # accept calls have failed for 1 s
         await harness.connect()
         while not client_connections.idle:
             await asyncio.sleep(0)
