Let calls to replaced discovery services go on until a newer service has sent a list

Cause: each reload cancelled the calls in progress and began anew with a client that held no list, so no call ended while the interval of the configurations was shorter than an answer took.

A list is applied unless a service that was named later has sent one; a service's first list is a whole one and takes the place of all before.

--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -110,6 +110,7 @@
         self.calls_at_last_list = 0  # value of `calls_started` when the last list had been applied
         self.idle_connection: HttpConnection | None = None
         self.watch_task: asyncio.Task[None] | None = None
+        self.retired = False  # another discovery service has taken this one's place
         self.calls: dict[asyncio.Task[bool], Call] = {}  # calls that have not ended, oldest first
         self.apply_lock = asyncio.Lock()  # one list is applied at a time
 
@@ -144,7 +145,9 @@
             async with asyncio.timeout(time_limit):
                 changes = await self.fetch_and_apply(call, params)
         except Exception as err:  # the watch must go on after any failure
-            if call.number > self.calls_at_last_list:  # otherwise a call that started later has succeeded
+            if self.retired:
+                log.info("discovery call to a replaced address failed: %s: %s", type(err).__name__, err)
+            elif call.number > self.calls_at_last_list:  # otherwise a call that started later has succeeded
                 # A busy or absent discovery does not invalidate the version held; a malformed response does.
                 busy = isinstance(err, StatusError) and err.status >= 500
                 self.last_call_succeeded, self.silent = False, isinstance(err, OSError | TimeoutError)
@@ -214,15 +217,23 @@
         task = call.task = loop.create_task(self.perform_call(call, params, wait + CHANGE_DEADLINE))
         self.calls[task] = call
         task.add_done_callback(self.call_ended)
-        if len(self.calls) > MAX_OPEN_CALLS:
-            next(iter(self.calls)).cancel()
+        self.cancel_oldest_calls(len(self.calls) - MAX_OPEN_CALLS)
         return call
 
+    def cancel_oldest_calls(self, count: int) -> int:
+        """Cancels up to `count` calls; returns how many."""
+        oldest = list(self.calls)[: max(0, count)]
+        for task in oldest:
+            task.cancel()
+        return len(oldest)
+
     def call_ended(self, task: asyncio.Task[bool]) -> None:
         """Removes a call that succeeded, failed or was cancelled."""
         call = self.calls.pop(task, None)
         if call is not None:
             call.enter(DiscoveryCallState.ENDED)
+        if self.retired and not self.calls:
+            self.close_idle_connection()
 
     async def wait_for_call(self, call: Call, max_wait: float) -> bool:
         """Waits until a call has ended or is overdue; returns whether it has ended.
@@ -278,10 +289,20 @@
         """Starts one call for the whole list."""
         self.start_call({})
 
-    async def close(self) -> None:
+    def retire(self) -> None:
+        """Starts no further calls. Those in progress go on, but their failures are not reported."""
+        self.retired = True
+        self.watch(False)
+        if not self.calls:
+            self.close_idle_connection()
+
+    def close(self) -> None:
         """Stops the watch, cancels all calls and closes the idle connection. No list is applied after it."""
         self.watch(False)
-        for task in list(self.calls):
-            task.cancel()
+        self.cancel_oldest_calls(len(self.calls))
+        self.close_idle_connection()
+
+    def close_idle_connection(self) -> None:
+        """Closes the connection that is kept for the next call, if there is one."""
         if self.idle_connection is not None:
             self.idle_connection.close()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -24,6 +24,7 @@
 from calicomast.net.config import Config
 from calicomast.net.counter import CounterClient
 from calicomast.net.discovery import DiscoveryClient
+from calicomast.net.discovery_sources import DiscoverySources, ListApplier
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.lifecycle import ProcessState, RequestState, transition
 from calicomast.net.requests import (
@@ -34,7 +35,7 @@
     validate_command,
 )
 from calicomast.net.server_connections import Attempt, ServerConnections
-from calicomast.net.server_list import ServerList
+from calicomast.net.server_list import Address, ServerList
 from calicomast.net.server_table import ServerTable
 from calicomast.policy import GatewayPolicy
 from calicomast.rules import Verdict, may_accept_request
@@ -124,11 +125,13 @@
             CounterClient(config.counter, self.settings.counter_timeout) if config.counter else None
         )
         self.max_server_list_bytes = max_server_list_bytes(config.memory_limit)
-        self.discovery_generation = 0  # number of discovery clients created so far
-        self.discovery = self.create_discovery(
-            config, config.known_servers.version, held=bool(config.known_servers.entries)
+        self.discovery = DiscoverySources(
+            self.create_discovery_client,
+            self.apply_server_list,
+            config.discovery,
+            config.known_servers.version,
+            has_list=bool(config.known_servers.entries),
         )
-        self.closing_tasks: set[asyncio.Task[None]] = set()  # of discovery clients that were replaced
         self.actions = {
             api.Send: self.send,
             api.Refuse: self.refuse,
@@ -138,20 +141,20 @@
             api.SetTimer: self.set_timer,
             api.Probe: self.probe,
             api.CloseConnections: lambda action: self.server_connections.close_idle(action.server),
-            api.FetchServerList: lambda action: self.discovery.fetch(),
-            api.WatchServerList: lambda action: self.discovery.watch(action.enabled),
+            api.FetchServerList: lambda action: self.discovery.current.fetch(),
+            api.WatchServerList: lambda action: self.discovery.current.watch(action.enabled),
             api.Log: lambda action: log.info("policy: %s", action.text),
         }
 
     async def start(self) -> None:
         """Starts everything but the listener, so that the policy knows the servers before clients connect."""
-        for _ in self.apply_server_list(self.config.known_servers):
+        for _ in self.apply_server_list(self.config.known_servers, source=0):
             pass
         self.server_connections.start_idle_checks()
         if self.counter:
             self.counter.start()
         if self.settings.discovery == "push":
-            self.discovery.watch(True)
+            self.discovery.current.watch(True)
 
     async def listen(self) -> int:
         """Listens for clients and returns the port."""
@@ -171,26 +174,19 @@
             log.warning("only the addresses of discovery and counter are reloaded; the rest needs a restart")
         if self.counter and config.counter:
             self.counter.change_address(config.counter)
-        replaced = self.discovery
-        self.discovery = self.create_discovery(config, replaced.version, held=False)
-        if replaced.watch_task:
-            # The new watch begins with the full list, as each discovery service has versions of its own.
-            self.discovery.watch(True)
-        closing = self.loop.create_task(replaced.close())
-        self.closing_tasks.add(closing)
-        closing.add_done_callback(self.closing_tasks.discard)
+        self.discovery.replace(config.discovery)
         log.info("new configuration: discovery %s:%d", *config.discovery)
 
-    def create_discovery(self, config: Config, version: int, held: bool) -> DiscoveryClient:
-        """Creates the client of the discovery service that a configuration names."""
-        self.discovery_generation += 1
-        generation = self.discovery_generation
+    def create_discovery_client(
+        self, address: Address, version: int, has_list: bool, apply_list: ListApplier
+    ) -> DiscoveryClient:
+        """Creates a client of a discovery service, see DiscoverySources."""
         return DiscoveryClient(
-            config.discovery,
+            address,
             version,
-            lambda server_list: self.apply_server_list(server_list, generation),
+            apply_list,
             self.handle_fetch_failure,
-            has_list=held,
+            has_list=has_list,
             drain_grace=self.settings.rules.drain_grace,
             max_body_bytes=self.max_server_list_bytes,
             known_entries=self.server_table.entries,
@@ -248,31 +244,30 @@
             self.server_connections.cancel_attempt(attempt, "cancelled")
         self.submit_event(api.ClientDisconnected(request.id))
 
-    def apply_server_list(self, server_list: ServerList, generation: int = 0) -> Iterator[None]:
+    def apply_server_list(self, server_list: ServerList, source: int) -> Iterator[None]:
         """Applies a server list in slices, one at each step of the iterator.
 
         Args:
-            generation: the number of the discovery client that received the list; 0 for the configuration.
+            source: the number of the discovery service that sent the list; 0 for the configuration.
 
         Raises:
             ValueError: the list may not be applied.
         """
-        self.check_server_list(server_list, generation)
+        self.check_server_list(server_list, source)
+        self.discovery.list_accepted(source)
         is_long = len(server_list.entries) > LONG_SERVER_LIST
         for _ in self.server_table.apply(server_list):
             yield
-            # A reload may have replaced the discovery client since.
-            self.check_server_list(server_list, generation)
+            # A discovery service that was named later may have sent a list since.
+            self.check_server_list(server_list, source)
         self.ready = self.ready or self.server_table.any_available()
         if is_long:
             gc.freeze()  # most of the list stays in memory: no collection needs to scan it
 
-    def check_server_list(self, server_list: ServerList, generation: int) -> None:
+    def check_server_list(self, server_list: ServerList, source: int) -> None:
         """Raises ValueError if a server list may not be applied, or not any further."""
         try:
-            self.server_table.validate(
-                server_list, source_current=generation in (0, self.discovery_generation)
-            )
+            self.server_table.validate(server_list, self.discovery.is_superseded(source))
         except ValueError as err:
             self.event_log.log(EventKind.LIST_NOT_APPLIED, str(err), version=server_list.version)
             raise
@@ -280,7 +275,7 @@
     def handle_fetch_failure(self) -> None:
         """Tells the policy that discovery did not send a list that it asked for."""
         if self.settings.discovery == "ask":
-            self.submit_event(api.ServerListUpdate("failed", self.discovery.version, ()))
+            self.submit_event(api.ServerListUpdate("failed", self.discovery.current.version, ()))
 
     # Clients
 
@@ -524,7 +519,7 @@
         self.server_connections.close()
         if self.counter:
             self.counter.close()
-        await asyncio.gather(self.discovery.close(), *self.closing_tasks)
+        self.discovery.close()
         self.log_counts()
 
     def log_counts(self) -> None:
--- a/calicomast/net/server_table.py
+++ b/calicomast/net/server_table.py
@@ -59,13 +59,10 @@
         """Returns whether there is a server that requests may be sent to."""
         return any(entry.address and entry.server.state == "up" for entry in self.entries.values())
 
-    def validate(self, server_list: ServerList, source_current: bool = True) -> None:
-        """Raises ValueError for a list that must not be applied.
-
-        `source_current` states whether the list comes from the discovery that is configured now.
-        """
+    def validate(self, server_list: ServerList, source_superseded: bool = False) -> None:
+        """Raises ValueError for a list that must not be applied; see may_apply_server_list."""
         verdict = may_apply_server_list(
-            source_current=source_current,
+            source_superseded=source_superseded,
             is_complete=server_list.mode == "full",
             is_empty=server_list.empty,
             is_newer=server_list.version > self.version,
--- a/calicomast/rules.py
+++ b/calicomast/rules.py
@@ -145,7 +145,7 @@
 
 
 def may_apply_server_list(
-    *, source_current: bool, is_complete: bool, is_empty: bool, is_newer: bool, has_servers: bool
+    *, source_superseded: bool, is_complete: bool, is_empty: bool, is_newer: bool, has_servers: bool
 ) -> Verdict:
     """Decides whether a server list may be applied.
 
@@ -153,13 +153,13 @@
     known it is rejected unless it is newer than what is known: a source that has lost its data begins anew.
 
     Args:
-        source_current: whether the list comes from the discovery service configured now.
+        source_superseded: whether a discovery service that was configured after this list's has sent a list.
         is_complete: whether the list replaces all known servers, rather than changing some.
         is_empty: whether the list names no server.
         is_newer: whether its version is higher than that of the last list applied.
         has_servers: whether any server is known now.
     """
-    if not source_current:
+    if source_superseded:
         return Verdict.SOURCE_REPLACED
     if is_complete and is_empty and has_servers and not is_newer:
         return Verdict.EMPTY_SERVER_LIST
--- a/emulator/scenarios/storm.py
+++ b/emulator/scenarios/storm.py
@@ -73,7 +73,7 @@
         client.first_response_after for client in clients if client.first_response_after is not None
     ]
     for client in clients:
-        await client.close()
+        client.close()
     tally = service.tally
     return {
         "gateways": deployment.gateways,
