Finish reading a configuration before a further SIGHUP has it read again

Callers would see no new configuration applied, and so discovery and counter lost as their old addresses close, while SIGHUPs follow one another faster than a long file is read.

Cause: each SIGHUP began the reading again, without a bound on the time since the last configuration was applied.

Change: a SIGHUP during a reading has the file read once more when that reading has ended.

--- a/calicomast/net/program.py
+++ b/calicomast/net/program.py
@@ -125,21 +125,27 @@
 class Reloader:
     """Reads the configuration again on SIGHUP and passes it to the gateway.
 
-    A long file is read in steps, between which the event loop goes on. Another SIGHUP in the meantime starts
-    the reading again. The current configuration stays in force if the new one cannot be used.
+    A long file is read in steps, between which the event loop goes on. After a SIGHUP in the meantime it is
+    read once more as soon as the reading in progress has ended: if each signal began the reading again, none
+    would end while signals follow quickly. The current configuration stays in force if the new one cannot be
+    used.
     """
 
     def __init__(self, service: GatewayService) -> None:
         """Reads nothing until the first reload."""
         self.service = service
-        self.steps: Generator[None, None, Config] | None = None
+        self.steps: Generator[None, None, Config] | None = None  # of the reading in progress
+        self.signalled_again = False  # a SIGHUP came during that reading
         self.retry_timer: asyncio.TimerHandle | None = None
         self.retry_count = 0
 
     def reload(self) -> None:
         """Handles SIGHUP. A configuration that takes at most STEPS_PER_TURN steps is in force on return."""
         self.retry_count = 0
-        self.start_reading()
+        if self.steps is None:
+            self.start_reading()
+        else:
+            self.signalled_again = True
 
     def start_reading(self) -> None:
         """Reads the file from its beginning."""
@@ -150,9 +156,7 @@
         self.continue_reading(self.steps)
 
     def continue_reading(self, steps: Generator[None, None, Config]) -> None:
-        """Does the next steps, unless the reading was started again in the meantime."""
-        if steps is not self.steps:
-            return
+        """Does the next steps of the reading in progress."""
         try:
             for _ in range(STEPS_PER_TURN):
                 next(steps)
@@ -162,9 +166,13 @@
         except ConfigError as err:
             self.steps = None
             logging.getLogger(__name__).error("the current configuration stays in force: %s", err)
-            self.schedule_retry()
+            if not self.signalled_again:
+                self.schedule_retry()
         else:
             asyncio.get_running_loop().call_soon(self.continue_reading, steps)
+        if self.steps is None and self.signalled_again:
+            self.signalled_again = False
+            self.start_reading()
 
     def schedule_retry(self) -> None:
         """Schedules another reading of a file that could not be used, as no other SIGHUP will follow.
