Move pending commands and their response slots into a module of their own

ResponseSlot and QueuedCommand, with the memory that is counted for them, do not need the connection's code, and requests.py and gateway.py need only them.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -14,7 +14,6 @@
 
 from calicomast.net.client_connection import (
     MIN_PARTIAL_COMMAND_TIME,
-    PENDING_COMMAND_BYTES,
     READ_SIZE,
     ClientConnection,
     CloseReason,
@@ -22,6 +21,7 @@
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.fair_queue import FairQueue
 from calicomast.net.listener import Listener
+from calicomast.net.pending_commands import PENDING_COMMAND_BYTES
 from calicomast.rules import Verdict
 
 # Seconds without a pending command, or with a partial one, until a connection is closed.
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -18,7 +18,6 @@
 
 from calicomast import interface as api
 from calicomast.net.attempts import AttemptControl
-from calicomast.net.client_connection import BUSY, FAILED_RESPONSE, ResponseSlot
 from calicomast.net.clients import ClientConnections
 from calicomast.net.clock import Clock
 from calicomast.net.config import Config
@@ -27,6 +26,7 @@
 from calicomast.net.discovery_sources import DiscoverySources, ListApplier
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.lifecycle import ProcessState, RequestState, transition
+from calicomast.net.pending_commands import BUSY, FAILED_RESPONSE, ResponseSlot
 from calicomast.net.requests import (
     ActiveRequest,
     BadRequest,
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -6,9 +6,9 @@
 import re
 
 from calicomast import interface as api
-from calicomast.net.client_connection import ResponseSlot
 from calicomast.net.framing import MAX_BODY_BYTES
 from calicomast.net.lifecycle import RequestState, transition
+from calicomast.net.pending_commands import ResponseSlot
 from calicomast.net.server_connections import Attempt
 from calicomast.rules import remaining_time_ms
 
