Parse the messages of all connections with one reader, which keeps one buffer

Cause: each connection had a hiredis reader, which keeps the buffer of its last message, up to 128 KiB, until the next one.

Change: messages are parsed once they are whole, so one reader serves all connections; a reader that has failed is replaced.

--- a/calicomast/net/client_connection.py
+++ b/calicomast/net/client_connection.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicomast.net.events import EventKind
-from calicomast.net.framing import FramingError, MessageFramer
+from calicomast.net.framing import FramingError, MessageFramer, parse_message
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.lifecycle import ClientConnectionState, transition
 from calicomast.net.pending_commands import (
@@ -297,7 +297,7 @@
         """Parses a command and hands it to the handler."""
         self.owner.queued_bytes -= len(queued.encoded)
         try:
-            command = self.framer.parse(queued.encoded)
+            command = parse_message(queued.encoded)
         except FramingError:
             self.fail(PROTOCOL_ERROR, CloseReason.LOST_FRAMING)
             return
--- a/calicomast/net/framing.py
+++ b/calicomast/net/framing.py
@@ -24,6 +24,28 @@
     """Raised for bytes that are not a valid RESP message; the rest of the stream can't be parsed."""
 
 
+class MessageParser:
+    """Parses whole messages, one after another.
+
+    A hiredis reader keeps the memory of a long message until the next one, so all connections share one.
+    """
+
+    def __init__(self) -> None:
+        self._reader = hiredis.Reader()
+
+    def parse(self, encoded: bytes) -> Any:
+        """Parses one message, as `MessageFramer.next_message` does. Raises FramingError."""
+        try:
+            self._reader.feed(encoded)
+            return self._reader.gets()
+        except (hiredis.ProtocolError, MemoryError) as err:
+            self._reader = hiredis.Reader()  # after an error a reader parses nothing more
+            raise FramingError(str(err)) from err
+
+
+parse_message = MessageParser().parse
+
+
 class MessageFramer:
     """Splits a byte stream into RESP messages: simple lines, bulk strings, and arrays of both.
 
@@ -33,12 +55,11 @@
         items_left: items of the first message that have not been scanned yet.
     """
 
-    __slots__ = ("buffer", "position", "items_left", "reader")
+    __slots__ = ("buffer", "position", "items_left")
 
     def __init__(self) -> None:
         self.buffer = bytearray()
         self.position, self.items_left = 0, 1
-        self.reader = hiredis.Reader()
 
     def feed(self, data: bytes | memoryview) -> None:
         """Appends received bytes to the buffer."""
@@ -50,7 +71,7 @@
         An error reply is returned as a hiredis.ReplyError. Raises FramingError.
         """
         length = self.message_length()
-        return self.parse(self.take(length)) if length else NO_MESSAGE
+        return parse_message(self.take(length)) if length else NO_MESSAGE
 
     def take(self, length: int) -> bytes:
         """Removes and returns the first message, whose length is known, without parsing it."""
@@ -58,14 +79,6 @@
         self.skip(length)
         return encoded
 
-    def parse(self, encoded: bytes) -> Any:
-        """Parses one whole message that `take` returned, as `next_message` does. Raises FramingError."""
-        try:
-            self.reader.feed(encoded)
-            return self.reader.gets()
-        except (hiredis.ProtocolError, MemoryError) as err:
-            raise FramingError(str(err)) from err
-
     def skip(self, length: int) -> None:
         """Removes the first message, whose length is known."""
         del self.buffer[:length]
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -40,6 +40,7 @@
 ERROR_LINE_CLIENTS = 64
 ERROR_LINE_COMMANDS = 500  # of one client
 ERROR_LINE_MEMORY_MB = 96  # the limit of the gateway
+LONG_COMMAND_CLIENTS = 250
 COSTLY_CLIENTS = 3
 COSTLY_COMMANDS = 200  # of one client at once
 USUAL_REQUESTS = 20  # beside them
@@ -118,6 +119,24 @@
             assert process_usage(process.pid).peak_kb < ERROR_LINE_MEMORY_MB * 1024
 
 
+@on_loop
+async def test_connections_keep_no_memory_of_commands_that_were_answered(tmp_path):
+    # Guards against a gateway over its memory limit, as each connection's parser kept its last buffer.
+    async with StubServer() as server, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [server_entry(server)]
+        config = gateway_config(discovery.servers, discovery.port, counter.port)
+        async with run_gateway(config, tmp_path) as (process, port):
+            clients = [await asyncio.open_connection("127.0.0.1", port) for _ in range(LONG_COMMAND_CLIENTS)]
+            for reader, writer in clients[:10]:
+                writer.write(PING)
+                await read_reply(reader)
+            before = process_usage(process.pid).resident_kb
+            for reader, writer in clients:
+                writer.write(command(fields=b"," * 64_000))
+                assert (await read_reply(reader)).startswith(b"-ERR")
+            assert process_usage(process.pid).resident_kb < before + MAX_FLOOD_MEMORY_KB
+
+
 @on_loop
 async def test_costly_commands_do_not_keep_other_clients_from_their_answers(tmp_path):
     # Guards against requests that are never answered, as commands were limited by count and not by time.
