Free answered requests at once, rather than at the next full garbage collection

Cause: ActiveRequest and ResponseSlot refer to each other. 2,210 answered requests were found in memory, with their commands.

Change: the slot's reference is dropped with the request.

Evidence: the new test, which runs with the collector off, failed before and passes now.

--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -356,6 +356,8 @@
         """Removes a request that has been answered and has no attempt left."""
         if request.finished and not request.active_attempts and self.active_requests.pop(request.id, None):
             request.transition_to(RequestState.REMOVED)
+            # Ends the cycle of references: its command would stay in memory until a full garbage collection.
+            request.slot.active_request = None
             self.held_command_bytes -= request.command_bytes
 
     def log_request_end(self, kind: EventKind, reason: str, request: ActiveRequest) -> None:
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -1,6 +1,7 @@
 """Tests of the gateway service: final answers, failures of the policy, timers, attempts and shutdown."""
 
 import asyncio
+import gc
 import logging
 import socket
 import time
@@ -24,7 +25,9 @@
 
 from calicomast import interface as api
 from calicomast.net import clients, gateway, server_connections
-from calicomast.net.requests import parse_request
+from calicomast.net.pending_commands import ResponseSlot
+from calicomast.net.requests import ActiveRequest, parse_request
+from calicomast.net.server_connections import Attempt
 
 
 @on_loop
@@ -39,6 +42,24 @@
         assert fields == {b"c": b"read", b"t": b"p", b"units": b"1", b"spread": b"1", b"first": b"0"}
 
 
+@on_loop
+async def test_answered_requests_are_freed_without_a_garbage_collection(tmp_path):
+    # Guards against a gateway over its memory limit, as cycles of references kept answered commands.
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        reader, writer = await harness.connect()
+        gc.collect()
+        gc.disable()
+        try:
+            for n in range(5):
+                writer.write(write_command(b"r%d" % n))
+                assert await read_reply(reader) == CLIENT_REPLY
+            kinds = ActiveRequest | Attempt | ResponseSlot
+            left_over = [item for item in gc.get_objects() if isinstance(item, kinds)]
+        finally:
+            gc.enable()
+        assert not harness.service.active_requests and not left_over
+
+
 @on_loop
 async def test_request_to_a_silent_server_fails_before_the_client_deadline(tmp_path, monkeypatch):
     monkeypatch.setattr(gateway, "RESPONSE_MARGIN", 2.0)  # large enough for a busy machine
