Limit the steps of handling input by time, and not by a number of commands

Change: a step of splitting input or of dispatching commands ends after 0.1 ms.

The new test is for a constant that did not exist before.

--- a/calicomast/net/client_connection.py
+++ b/calicomast/net/client_connection.py
@@ -31,9 +31,9 @@
 
 MAX_PENDING_COMMANDS = 512  # per connection; further ones are refused at once
 READ_SIZE = 16 * 1024  # bytes; reading pauses until what was read is split into commands
-# Steps of handling input, between which other connections have their turn: see FairQueue.
-MAX_COMMANDS_SPLIT_PER_STEP = 32
-MAX_COMMANDS_DISPATCHED_PER_STEP = 4
+# Seconds of a step of handling input, after which other connections have their turn: see FairQueue. The last
+# command of a step may exceed it.
+STEP_TIME = 0.0001
 # Seconds that a command may wait for its turn before the client is checked for a disconnect.
 DISCONNECT_CHECK_AGE = 0.005
 # Seconds that a partial command has at least, even if the idle timeout of its connection is over.
@@ -224,14 +224,14 @@
 
     def queue_commands(self) -> bool:
         """Queues the commands of one step; returns whether the input may hold more. Raises FramingError."""
-        for _ in range(MAX_COMMANDS_SPLIT_PER_STEP):
-            length = self.framer.message_length()
-            if not length:
-                return False
+        until = monotonic() + STEP_TIME
+        while length := self.framer.message_length():
             if self.partial_bytes:
                 self.owner.track_partial(self, 0)
             self.queue_command(length)
-        return True
+            if monotonic() >= until:
+                return True
+        return False
 
     def track_partial_command(self) -> bool:
         """Records the partial command at the end of the input; returns whether it may be kept."""
@@ -285,10 +285,11 @@
             and self.peer_has_closed()
         ):
             self.handle_disconnect()
-        for _ in range(MAX_COMMANDS_DISPATCHED_PER_STEP):
-            if not self.queued:
-                break
+        until = monotonic() + STEP_TIME
+        while self.queued:
             self.dispatch(self.queued.pop(0))
+            if monotonic() >= until:
+                break
         if not self.queued and self.input_failure is not None and self.is_readable:
             self.fail(*self.input_failure)
         return bool(self.queued)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -542,6 +542,31 @@
         assert not client_connections.queued_bytes
 
 
+@pytest.mark.parametrize("step_time, commands_per_step", [(0.0, 1), (600.0, 4)])
+@on_loop
+async def test_steps_of_handling_input_are_limited_by_time(
+    step_time, commands_per_step, tmp_path, monkeypatch
+):
+    # Guards against other clients that wait for steps of many costly commands, as their number was limited.
+    monkeypatch.setattr(client_connection, "STEP_TIME", step_time)
+    async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
+        owner = harness.service.clients
+        owner.splitting = FairQueue(client_connection.ClientConnection.split_input, 0.0)
+        owner.dispatching = FairQueue(client_connection.ClientConnection.dispatch_commands, 0.0)
+        client_socket = connect_and_send(harness, b"*1\r\n$4\r\nPING\r\n" * 4)
+        while not any(client.input_unsplit for client in owner.connections):
+            await asyncio.sleep(0)
+        (client,) = owner.connections
+        client.split_input()
+        assert len(client.queued) == commands_per_step
+        while client.split_input():
+            pass
+        assert len(client.queued) == 4
+        client.dispatch_commands()
+        assert len(client.queued) == 4 - commands_per_step
+        client_socket.close()
+
+
 @on_loop
 async def test_all_parts_of_the_commands_of_active_requests_are_limited(tmp_path):
     # Guards against requests whose list of fields is long and did not count for the limit, only their body.
