Count no wait for a connection that comes to an empty accept queue

Callers would see the first request on a new connection refused at once, or its connection closed as idle, since the time since the last connection counted as time in the queue.

Change: whether connections are left is asked with poll after accepting, and after the pause that follows a failure.

--- a/calicomast/net/listener.py
+++ b/calicomast/net/listener.py
@@ -15,7 +15,7 @@
 from time import monotonic
 
 from calicomast.net.accept_queue import AcceptQueueWait
-from calicomast.net.socket_state import accept_queue_length
+from calicomast.net.socket_state import accept_queue_length, connection_waits
 
 BACKLOG = 1024  # connections that may wait in the accept queue
 MIN_PAUSE = 0.005  # seconds after a failed accept; doubles with each further failure
@@ -109,15 +109,23 @@
         try:
             for _ in range(allowed):
                 if not self._accept_one():
-                    self._accepting_at = None
-                    return
-            self.queue_wait.not_emptied(monotonic())
+                    break
+            self._note_queue()
         except OSError as err:
             self._record_failure(err)
             self._stop_reading()
             self._resume_timer = self._loop.call_later(self._pause, self._resume_reading)
             self._pause = min(MAX_PAUSE, 2 * self._pause)
 
+    def _note_queue(self) -> None:
+        """Notes whether connections are left in the queue."""
+        assert self._socket is not None
+        if connection_waits(self._socket):
+            self.queue_wait.not_emptied(monotonic())
+        else:
+            self.queue_wait.emptied()
+            self._accepting_at = None
+
     def _allowed_accepts(self, now: float) -> int:
         """Returns how many connections may be accepted in this turn of the event loop."""
         if self._accepting_at is None:
@@ -130,7 +138,6 @@
         try:
             accepted, _ = self._socket.accept()
         except BlockingIOError:
-            self.queue_wait.emptied()
             return False
         self._pause = MIN_PAUSE
         accepted_at = monotonic()
@@ -177,4 +184,5 @@
         """Watches the socket again after the pause that follows a failure."""
         self._resume_timer = None
         if self._socket is not None:
+            self._note_queue()  # the connection for which accept failed may be gone
             self._loop.add_reader(self._socket, self._on_readable)
--- a/calicomast/net/socket_state.py
+++ b/calicomast/net/socket_state.py
@@ -47,6 +47,13 @@
     return queued if state == TCP_LISTEN_STATE else None
 
 
+def connection_waits(listening: socket.socket) -> bool:
+    """Whether the accept queue of a listening socket holds a connection."""
+    poll = select.poll()
+    poll.register(listening, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def disconnect_events(descriptor: int) -> int:
     """Returns which of DISCONNECT_EVENTS the socket reports now; 0 while the other side has not closed.
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -68,6 +68,45 @@
     assert accept_queue_length(listening) is None
 
 
+@pytest.mark.parametrize("system_tells_length", [True, False])
+@pytest.mark.parametrize("accept_fails", [False, True])
+@on_loop
+async def test_connection_that_comes_to_an_empty_queue_has_not_waited(
+    accept_fails, system_tells_length, monkeypatch
+):
+    # Guards against requests refused at once, as the time since the last connection counted as a wait.
+    if not system_tells_length:
+        monkeypatch.setattr(listener_module, "accept_queue_length", lambda listening: None)
+    waits = []
+
+    def make_protocol(waited):
+        waits.append(waited)
+        return asyncio.Protocol()
+
+    listener = Listener(make_protocol)
+    port = listener.open("127.0.0.1", 0)
+    accept_one = listener._accept_one
+
+    def fail_after_accepting():
+        """Fails as for a connection that was reset while it waited, which is no longer in the queue."""
+        listener._accept_one = accept_one
+        accept_one()
+        raise ConnectionAbortedError
+
+    clients = []
+    for _ in range(3):
+        if accept_fails:
+            listener._accept_one = fail_after_accepting
+        clients.append(socket.create_connection(("127.0.0.1", port)))
+        while len(waits) < len(clients):
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.2)
+    assert listener.failures == (3 if accept_fails else 0) and max(waits) < 0.1
+    await listener.close()
+    for client in clients:
+        client.close()
+
+
 @pytest.mark.parametrize("system_tells_length", [True, False])
 @on_loop
 async def test_time_in_the_accept_queue_is_passed_to_the_protocol(system_tells_length, monkeypatch):
