Check each write against the request's other writes, not against its own bound

The run-time check REPEAT_WINDOW compared a write with the attempt's own `retry_deadline`, the very value whose truth is in question: for a first attempt it is infinite, so the check could not fail there.

Change: a request keeps when those of its attempts that may have been executed were written; an attempt that ended with proof that it never ran is taken out. The check compares each write with these times, and also finds an attempt of an unsafe class beside another. It decides nothing.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -15,6 +15,8 @@
 # Results of attempts that were never written, for a reason that is not the server's. "unsent": this machine
 # could not connect. "withheld": by the time it could be written, rules.py no longer allowed it.
 NOT_STARTED_RESULTS = ("unsent", "withheld")
+# Results which prove that the server has not executed the attempt.
+NEVER_EXECUTED_RESULTS = ("full", "connect_failed", *NOT_STARTED_RESULTS)
 # "moot": the attempt was cancelled before it was sent, so it says nothing about the server.
 ATTEMPT_RESULTS = (
     "ok",
--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections.abc import Callable
 from time import monotonic
@@ -71,8 +70,9 @@
 
     def prepare_write(self, attempt: Attempt) -> bytes:
         """Encodes the command for an attempt, counts it as written and checks it against the invariants."""
-        request, _ = attempt.request_and_number
+        request, number = attempt.request_and_number
         request.attempts_written += 1
+        request.write_times[number] = self._clock()
         remaining = request.deadline - monotonic()
         command = request.encode_command(remaining)
         self._check_invariants(attempt, request, command, remaining)
@@ -110,8 +110,19 @@
             return Invariant.ATTEMPT_LIMIT
         if len(request.active_attempts) > 1 and not limits.hedging:
             return Invariant.SECOND_ATTEMPT
-        if attempt.retry_deadline < math.inf and self._clock() > attempt.retry_deadline + MAX_PROCESS_PAUSE:
+        if self._is_duplicate(attempt, request):
             return Invariant.REPEAT_WINDOW
         if not self._is_available(attempt.server):
             return Invariant.SERVER_GONE
         return None
+
+    def _is_duplicate(self, attempt: Attempt, request: ActiveRequest) -> bool:
+        """Returns whether a server may execute an attempt though another one may have been executed.
+
+        This goes by the writes alone, whatever was decided about the attempt before.
+        """
+        earlier = request.write_times_beside(attempt.request_and_number[1])
+        service_class = request.service_class
+        if not earlier or service_class.effect == "safe":
+            return False
+        return service_class.effect == "unsafe" or self._clock() > min(earlier) + service_class.dedup_window
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -312,7 +312,8 @@
             self.event_log.count(EventKind.REQUEST_REFUSED, verdict.value)
             slot.reply(BUSY)
             return
-        active_request = ActiveRequest(request.id, slot, command, now + request.remaining_time)
+        service_class = self.settings.classes[request.service_class]
+        active_request = ActiveRequest(request.id, slot, command, now + request.remaining_time, service_class)
         slot.active_request = active_request
         slot.expires_at = (
             now + min(request.remaining_time + RESPONSE_MARGIN, self.longest_deadline) + LATE_ANSWER_GRACE
@@ -430,6 +431,8 @@
         request, number = attempt.request_and_number
         result, was_finished = attempt.result, request.finished
         del request.active_attempts[number]
+        if result in api.NEVER_EXECUTED_RESULTS:
+            request.write_times.pop(number, None)
         if result != "ok":
             ids = {
                 "id": request.id,
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -41,6 +41,7 @@
         attempts_created: attempts that the policy has decided on, which are numbered in this order.
         attempts_written: attempts whose command was written to a server.
         active_attempts: attempts without a result, by number.
+        write_times: clock time of the write of each attempt that may have been executed, by number.
     """
 
     __slots__ = (
@@ -53,15 +54,26 @@
         "attempts_created",
         "attempts_written",
         "active_attempts",
+        "write_times",
+        "service_class",
         "state",
     )
 
-    def __init__(self, id: str, slot: ResponseSlot, command: list[bytes], deadline: float) -> None:
+    def __init__(
+        self,
+        id: str,
+        slot: ResponseSlot,
+        command: list[bytes],
+        deadline: float,
+        service_class: api.ServiceClass,
+    ) -> None:
         self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
+        self.service_class = service_class
         self.command_bytes = sum([len(part) for part in command])
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.attempts_created = self.attempts_written = 0
         self.active_attempts: dict[int, Attempt] = {}
+        self.write_times: dict[int, float] = {}
         self.state = RequestState.ACCEPTED
 
     @property
@@ -73,6 +85,10 @@
         """Changes the state, and checks that the transition is allowed."""
         self.state = transition(self.state, state, self.id)
 
+    def write_times_beside(self, number: int) -> list[float]:
+        """Returns when the attempts other than `number` that may have been executed were written."""
+        return [written_at for other, written_at in self.write_times.items() if other != number]
+
     def encode_command(self, remaining: float) -> bytes:
         """Encodes the client's command with `d` replaced by the remaining time.
 
