Ask for the retry window at the write, with the writes of the other attempts

Cause: GatewayPolicy.send_attempt fixed the end of the retry window when it decided on an attempt: infinite for a first one. While that attempt waits for its connection, a hedged attempt may be written elsewhere, run, and end in a reset. The rule is asked again when the connection is up, but with the old bound.

Change: Send carries no bound any more. AttemptControl.may_write takes it in the step of the write from the writes of the request's other attempts, those out that proved that they never ran, for first, hedged and further attempts alike. rules.retry_deadline holds it for all classes, so an attempt of an unsafe class is not written either beside one that may have run. Policy and I/O ask the same function.

The test fails without the change: with the answers "closed" and "-ERR" the first attempt was written and served (2 failed); "-BUSY", which proves that the other attempt never ran, passed and passes. test_rules.py asks retry_deadline as before, by class and times now.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 
 EFFECTS = ("safe", "keyed", "unsafe")
@@ -322,7 +321,6 @@
     id: str  # of the request
     server: str
     timeout: float = 0  # seconds; 0: until the client's deadline
-    retry_deadline: float = math.inf  # clock time by which a retry must be written
     slow_start: bool = False  # whether a delayed write needs GatewayPolicy.admits_delayed_attempt
 
 
--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable
 from time import monotonic
@@ -15,7 +16,7 @@
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.requests import ActiveRequest
 from calicomast.net.server_connections import Attempt
-from calicomast.rules import MAX_PROCESS_PAUSE, AttemptFacts, Verdict, may_write_attempt
+from calicomast.rules import MAX_PROCESS_PAUSE, AttemptFacts, Verdict, may_write_attempt, retry_deadline
 
 PROPAGATED_DEADLINE = re.compile(rb"[\n,]d=([0-9]+)")  # milliseconds, in an encoded command
 MAX_LOGGED_BYTES = 200  # of a command, in the message of a violation
@@ -53,7 +54,7 @@
                 finished=request.finished,
                 client_gone=not request.finished and request.slot.connection.peer_has_closed(),
                 remaining_time=request.deadline - monotonic(),
-                retry_window_left=attempt.retry_deadline - self._clock(),
+                retry_window_left=self._retry_window_left(attempt),
                 attempts_written=request.attempts_written,
                 max_attempts=self._limits.max_attempts,
                 other_attempts=len(request.active_attempts) - (number in request.active_attempts),
@@ -68,6 +69,13 @@
             self._events.log(EventKind.ATTEMPT_NOT_WRITTEN, verdict.value, **ids)
         return verdict
 
+    def _retry_window_left(self, attempt: Attempt) -> float:
+        """Returns for how many seconds an attempt may still be written, given the writes of the others."""
+        request, number = attempt.request_and_number
+        if not request.write_times:
+            return math.inf
+        return retry_deadline(request.service_class, request.write_times_beside(number)) - self._clock()
+
     def prepare_write(self, attempt: Attempt) -> bytes:
         """Encodes the command for an attempt, counts it as written and checks it against the invariants."""
         request, number = attempt.request_and_number
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -393,7 +393,7 @@
         number = request.attempts_created
         request.attempts_created += 1
         attempt = Attempt(action.server, self.build_command, self.attempt_done, (request, number))
-        attempt.retry_deadline, attempt.slow_start = action.retry_deadline, action.slow_start
+        attempt.slow_start = action.slow_start
         verdict = self.attempt_control.may_write(attempt, connected_late=False)
         if verdict is not Verdict.ALLOWED:
             if verdict is Verdict.CLIENT_GONE:
--- a/calicomast/net/server_connections.py
+++ b/calicomast/net/server_connections.py
@@ -63,7 +63,6 @@
         connection: the connection that it was handed to.
         timer: cancels the attempt at its timeout.
         state: AttemptState.
-        retry_deadline: clock time by which it has to be written, if it is a retry.
         slow_start: whether the server has just started, so that a write needs the policy's permission if the
             connection was established late.
         permitted: whether the caller has checked in this same step that the attempt may begin.
@@ -82,7 +81,6 @@
         "connection",
         "timer",
         "state",
-        "retry_deadline",
         "slow_start",
         "permitted",
     )
@@ -100,7 +98,6 @@
         self.request_and_number = request_and_number
         self.started_at = monotonic()
         self.state = AttemptState.WAITING
-        self.retry_deadline = math.inf
         self.slow_start = False
         self.permitted = False
         self.result = ""
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -307,7 +307,8 @@
             or pending.service_class.effect == "safe"
         ):
             return server.info.id not in pending.excluded_servers
-        if pending.service_class.effect == "unsafe" or now >= self.retry_deadline(pending):
+        send_times = [sent_at for _, sent_at in possibly_executed]
+        if now >= retry_deadline(pending.service_class, send_times):
             return False
         known = [self.balancer.server_info(server_id) for server_id, _ in possibly_executed]
         scope = pending.service_class.dedup_scope
@@ -318,15 +319,6 @@
         group = (lambda info: info.zone) if scope == "zone" else (lambda info: info.cell)
         return all(group(info) == group(server.info) for info in known)
 
-    def retry_deadline(self, pending: PendingRequest) -> float:
-        """Returns until when a further attempt may be written; infinite if no attempt may have run."""
-        possibly_executed = pending.may_have_run + list(pending.live_attempts.values())
-        if pending.service_class.effect == "safe" or not possibly_executed:
-            return math.inf
-        return retry_deadline(
-            min(sent_at for _, sent_at in possibly_executed), pending.service_class.dedup_window
-        )
-
     def admits_delayed_attempt(self, now: float, request_id: str, number: int, server_id: str) -> bool:
         """Returns whether an attempt at a server in slow start may be written to a delayed connection."""
         pending, server = self.requests.get(request_id), self.balancer.servers.get(server_id)
@@ -373,9 +365,7 @@
         in_slow_start = (
             server.slow_start is not None and server.slow_start_weight(now, self.settings.rules) < 1.0
         )
-        self.actions.append(
-            api.Send(pending.request.id, server.info.id, 0, self.retry_deadline(pending), in_slow_start)
-        )
+        self.actions.append(api.Send(pending.request.id, server.info.id, 0, in_slow_start))
         pending.live_attempts[pending.attempts_sent] = (server.info.id, now)
         self.balancer.record_send(server, (pending.request.id, pending.attempts_sent), now, pending.charge)
         pending.attempts_sent += 1
--- a/calicomast/rules.py
+++ b/calicomast/rules.py
@@ -9,9 +9,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
+from calicomast import interface as api
+
 MAX_PROCESS_PAUSE = 0.15  # seconds that the process may be suspended between reading its clock and writing
 MILLISECONDS_PER_SECOND = 1000
 
@@ -59,8 +62,8 @@
         finished: whether the request already has its final answer.
         client_gone: whether the client has closed its connection.
         remaining_time: seconds until the client gives up.
-        retry_window_left: seconds until the server may no longer discard a retry as a duplicate; infinite
-            while no earlier attempt has opened such a window.
+        retry_window_left: seconds until servers may no longer discard the attempt as a duplicate of another
+            one that may have been executed; infinite while there is none, or the class is safe to repeat.
         attempts_written: attempts of the request that were written before this one.
         max_attempts: limit of written attempts for one request.
         other_attempts: other attempts of the request that are in flight or wait for a connection.
@@ -166,14 +169,27 @@
     return Verdict.ALLOWED
 
 
-def retry_deadline(first_sent: float, dedup_window: float) -> float:
-    """Returns the clock time until which a retry may be written.
+def retry_deadline(service_class: api.ServiceClass, send_times: Collection[float]) -> float:
+    """Returns the clock time until which an attempt of a request may be written beside its other attempts.
+
+    This holds for a first attempt too: others may have been written while it waited for its connection.
 
     Servers discard duplicates for `dedup_window` seconds from the first attempt that may have been executed.
     The retry window ends `MAX_PROCESS_PAUSE` seconds earlier, because the process may be suspended that long
     between this check and the write.
+
+    Args:
+        service_class: the class of the request.
+        send_times: clock times at which those of the other attempts were sent that may have been executed.
+
+    Returns:
+        Infinity while nothing limits the attempt, negative infinity if it may not be written at all.
     """
-    return first_sent + dedup_window - MAX_PROCESS_PAUSE
+    if service_class.effect == "safe" or not send_times:
+        return math.inf
+    if service_class.effect == "unsafe":
+        return -math.inf
+    return min(send_times) + service_class.dedup_window - MAX_PROCESS_PAUSE
 
 
 def remaining_time_ms(remaining_time: float) -> int:
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -413,12 +413,52 @@
         assert propagated_deadline_ms(server) <= 3000 - 1000 * waited + 150
 
 
-@on_loop
-async def test_retry_is_not_written_if_its_window_closed_while_connecting(tmp_path):
-    # 0.8 s, while establishing the connection takes a second.
+def settings_with_short_window(**limits):
+    """Returns settings with a retry window of 0.8 s, while a late connection takes a second."""
     keyed_class = {**SETTINGS["services"][1], "memory_span": 800_000_000}
-    settings = settings_with(connect_timeout=2_500_000_000)
+    settings = settings_with(connect_timeout=2_500_000_000, **limits)
     settings["services"] = [SETTINGS["services"][0], keyed_class, SETTINGS["services"][2]]
+    return settings
+
+
+class TwoServerPolicy:
+    """A policy that sends each request to h1 and h2 at once, and fails it when both attempts have ended."""
+
+    def __init__(self):
+        self.results = {}
+
+    def handle(self, now, event):
+        if isinstance(event, api.Request):
+            return [api.Send(event.id, "h1"), api.Send(event.id, "h2")]
+        if isinstance(event, api.Outcome) and not event.final:
+            self.results[event.server] = event.result
+            return [api.Fail(event.id)] * (len(self.results) == 2)
+        return []
+
+
+@pytest.mark.parametrize(
+    "answer, result", [(b"", "reset"), (b"-ERR failed\r\n", "error"), (b"-BUSY\r\n", "full")]
+)
+@on_loop
+async def test_late_first_attempt_is_not_written_after_the_window_of_another(answer, result, tmp_path):
+    # Guards against running a keyed request twice, as its first attempt was connected after a later one ran.
+    async with SaturatedServer() as saturated, StubServer(answer) as other:
+        settings = settings_with_short_window(second_copies=True)
+        async with GatewayHarness(saturated, other, path=tmp_path, settings=settings) as harness:
+            harness.service.policy = policy = TwoServerPolicy()
+            reply = asyncio.create_task(harness.send_command(write_command()))
+            await other.arrived.get()
+            await saturated.accept_connections()
+            if result == "full":  # proves that the later attempt never ran, so the first one may
+                assert await reply == CLIENT_REPLY and len(saturated.commands) == 1
+            else:
+                assert (await reply).startswith(b"-ERR") and not saturated.commands
+                assert policy.results == {"h1": "withheld", "h2": result}
+
+
+@on_loop
+async def test_retry_is_not_written_if_its_window_closed_while_connecting(tmp_path):
+    settings = settings_with_short_window()
     async with StubServer(None) as first, SaturatedServer() as saturated:
         async with GatewayHarness(first, path=tmp_path, settings=settings) as harness:
             reply = asyncio.create_task(harness.send_command(write_command()))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,6 +4,7 @@
 import math
 
 import pytest
+from helpers import READ, UNSAFE_WRITE, WRITE
 
 from calicomast import rules
 from calicomast.rules import AttemptFacts, Verdict, may_write_attempt
@@ -102,5 +103,13 @@
 
 
 def test_retry_window_ends_early_and_remaining_time_is_in_whole_milliseconds():
-    assert rules.retry_deadline(100.0, 2.0) == pytest.approx(102.0 - rules.MAX_PROCESS_PAUSE)
+    keyed = dataclasses.replace(WRITE, dedup_window=2.0)
+    assert rules.retry_deadline(keyed, [100.0]) == pytest.approx(102.0 - rules.MAX_PROCESS_PAUSE)
+    assert rules.retry_deadline(keyed, [101.0, 100.0]) == rules.retry_deadline(keyed, [100.0])
     assert rules.remaining_time_ms(1.2349) == 1234 and rules.remaining_time_ms(0.0) == 1
+
+
+def test_what_may_have_been_executed_limits_other_attempts_by_the_class_of_the_request():
+    assert rules.retry_deadline(READ, [100.0]) == math.inf
+    assert rules.retry_deadline(WRITE, []) == rules.retry_deadline(UNSAFE_WRITE, []) == math.inf
+    assert rules.retry_deadline(UNSAFE_WRITE, [100.0]) == -math.inf
