Give up attempts at once whose retry window closes while they connect

Cause: the request's last live attempt waited for a connection that it could no longer use, and only the write would have found that out.

Change: where a request has written attempts and others that wait for a connection, RetryWindowTimers ends those that wait when the window closes, as "withheld", and the policy answers. The end is computed anew when the timer fires, since an attempt may have proved meanwhile that it never ran. The check at the write stays; its tests run with the timers stopped. Times of writes are kept only for classes that are not safe to repeat.

The new test fails without the calls in gateway.py: the first attempt ended as "connect_failed" after the time for connecting.

--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -65,10 +65,15 @@
             )
         )
         if verdict is not Verdict.ALLOWED:
-            ids = {"id": request.id, "attempt": number, "server": attempt.server}
-            self._events.log(EventKind.ATTEMPT_NOT_WRITTEN, verdict.value, **ids)
+            self.log_refusal(attempt, verdict)
         return verdict
 
+    def log_refusal(self, attempt: Attempt, verdict: Verdict) -> None:
+        """Counts and logs why an attempt was not written."""
+        request, number = attempt.request_and_number
+        ids = {"id": request.id, "attempt": number, "server": attempt.server}
+        self._events.log(EventKind.ATTEMPT_NOT_WRITTEN, verdict.value, **ids)
+
     def _retry_window_left(self, attempt: Attempt) -> float:
         """Returns for how many seconds an attempt may still be written, given the writes of the others."""
         request, number = attempt.request_and_number
@@ -80,7 +85,8 @@
         """Encodes the command for an attempt, counts it as written and checks it against the invariants."""
         request, number = attempt.request_and_number
         request.attempts_written += 1
-        request.write_times[number] = self._clock()
+        if request.service_class.effect != "safe":
+            request.write_times[number] = self._clock()
         remaining = request.deadline - monotonic()
         command = request.encode_command(remaining)
         self._check_invariants(attempt, request, command, remaining)
@@ -131,6 +137,6 @@
         """
         earlier = request.write_times_beside(attempt.request_and_number[1])
         service_class = request.service_class
-        if not earlier or service_class.effect == "safe":
+        if not earlier:
             return False
         return service_class.effect == "unsafe" or self._clock() > min(earlier) + service_class.dedup_window
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -34,6 +34,7 @@
     parse_request,
     validate_command,
 )
+from calicomast.net.retry_window import RetryWindowTimers
 from calicomast.net.server_connections import Attempt, ServerConnections
 from calicomast.net.server_list import Address, ServerList
 from calicomast.net.server_table import ServerTable
@@ -121,6 +122,7 @@
             self.admits_delayed_attempt,
             self.event_log,
         )
+        self.retry_window_timers = RetryWindowTimers(self.clock, self.withhold_attempt)
         self.counter = (
             CounterClient(config.counter, self.settings.counter_timeout) if config.counter else None
         )
@@ -344,8 +346,7 @@
         if request.finished:
             return
         request.transition_to(RequestState.ANSWERED)
-        if request.deadline_timer is not None:
-            request.deadline_timer.cancel()
+        request.cancel_timers()
         if answer:
             request.slot.reply(answer)
         for attempt in list(request.active_attempts.values()):
@@ -407,6 +408,7 @@
             attempt, min(remaining, action.timeout) if action.timeout > 0 else remaining
         )
         attempt.permitted = False
+        self.retry_window_timers.watch(request)
 
     def admits_delayed_attempt(self, now: float, request_id: str, number: int, server_id: str) -> bool:
         """Asks the policy whether slow start allows an attempt whose connection was established late."""
@@ -424,7 +426,15 @@
                 if verdict is Verdict.CLIENT_GONE:
                     self.handle_client_gone(request.slot)
                 return None
-        return self.attempt_control.prepare_write(attempt)
+        command = self.attempt_control.prepare_write(attempt)
+        if not attempt.permitted:
+            self.retry_window_timers.watch(request)
+        return command
+
+    def withhold_attempt(self, attempt: Attempt) -> None:
+        """Ends an attempt whose retry window has closed while it waited for a connection."""
+        self.attempt_control.log_refusal(attempt, Verdict.RETRY_WINDOW_CLOSED)
+        self.server_connections.withhold(attempt)
 
     def attempt_done(self, attempt: Attempt) -> None:
         """Answers the request of an attempt that has ended, if it succeeded, and reports it to the policy."""
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -7,7 +7,7 @@
 
 from calicomast import interface as api
 from calicomast.net.framing import MAX_BODY_BYTES
-from calicomast.net.lifecycle import RequestState, transition
+from calicomast.net.lifecycle import AttemptState, RequestState, transition
 from calicomast.net.pending_commands import ResponseSlot
 from calicomast.net.server_connections import Attempt
 from calicomast.rules import remaining_time_ms
@@ -38,10 +38,12 @@
         command_bytes: total size of the parts of the command.
         deadline: time on the monotonic clock by which the policy has to finish the request.
         deadline_timer: fails the request if the policy has not finished it in time.
+        window_timer: see RetryWindowTimers.
         attempts_created: attempts that the policy has decided on, which are numbered in this order.
         attempts_written: attempts whose command was written to a server.
         active_attempts: attempts without a result, by number.
-        write_times: clock time of the write of each attempt that may have been executed, by number.
+        write_times: clock time of the write of each attempt that may have been executed, by number; empty
+            if the class is safe to repeat.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "command_bytes",
         "deadline",
         "deadline_timer",
+        "window_timer",
         "attempts_created",
         "attempts_written",
         "active_attempts",
@@ -71,6 +74,7 @@
         self.service_class = service_class
         self.command_bytes = sum([len(part) for part in command])
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.window_timer: asyncio.TimerHandle | None = None
         self.attempts_created = self.attempts_written = 0
         self.active_attempts: dict[int, Attempt] = {}
         self.write_times: dict[int, float] = {}
@@ -85,6 +89,17 @@
         """Changes the state, and checks that the transition is allowed."""
         self.state = transition(self.state, state, self.id)
 
+    def cancel_timers(self) -> None:
+        """Cancels all timers of the request."""
+        for timer in (self.deadline_timer, self.window_timer):
+            if timer is not None:
+                timer.cancel()
+        self.deadline_timer = self.window_timer = None
+
+    def waiting_attempts(self) -> list[Attempt]:
+        """Returns the attempts that wait for a connection."""
+        return [attempt for attempt in self.active_attempts.values() if attempt.state is AttemptState.WAITING]
+
     def write_times_beside(self, number: int) -> list[float]:
         """Returns when the attempts other than `number` that may have been executed were written."""
         return [written_at for other, written_at in self.write_times.items() if other != number]
--- a/calicomast/net/server_connections.py
+++ b/calicomast/net/server_connections.py
@@ -518,11 +518,7 @@
             return
         connection = attempt.connection
         if connection is None:
-            pool = self.pools.get(attempt.server)
-            task = pool.connecting.pop(attempt, None) if pool else None
-            if task is not None:
-                task.cancel()
-            attempt.end("connect_failed")
+            self._end_waiting(attempt, "connect_failed")
             return
         if not connection.written:
             result = "connect_failed"
@@ -530,6 +526,19 @@
         connection.close()
         attempt.end(result)
 
+    def withhold(self, attempt: Attempt) -> None:
+        """Ends an attempt that waits for a connection with "withheld"; others are not affected."""
+        if not attempt.result and attempt.connection is None:
+            self._end_waiting(attempt, "withheld")
+
+    def _end_waiting(self, attempt: Attempt, result: str) -> None:
+        """Ends an attempt that waits for a connection, and stops connecting for it."""
+        pool = self.pools.get(attempt.server)
+        task = pool.connecting.pop(attempt, None) if pool else None
+        if task is not None:
+            task.cancel()
+        attempt.end(result)
+
     @property
     def open_count(self) -> int:
         """The number of connections, with those that are being established.
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -27,6 +27,7 @@
 from calicomast.net import clients, gateway, server_connections
 from calicomast.net.pending_commands import ResponseSlot
 from calicomast.net.requests import ActiveRequest, parse_request
+from calicomast.net.retry_window import RetryWindowTimers
 from calicomast.net.server_connections import Attempt
 
 
@@ -436,12 +437,20 @@
         return []
 
 
+def stop_retry_window_timers(monkeypatch):
+    """Leaves only the check at the write, as after a process pause in which the timer should have fired."""
+    monkeypatch.setattr(RetryWindowTimers, "watch", lambda self, request: None)
+
+
 @pytest.mark.parametrize(
     "answer, result", [(b"", "reset"), (b"-ERR failed\r\n", "error"), (b"-BUSY\r\n", "full")]
 )
 @on_loop
-async def test_late_first_attempt_is_not_written_after_the_window_of_another(answer, result, tmp_path):
+async def test_late_first_attempt_is_not_written_after_the_window_of_another(
+    answer, result, tmp_path, monkeypatch
+):
     # Guards against running a keyed request twice, as its first attempt was connected after a later one ran.
+    stop_retry_window_timers(monkeypatch)
     async with SaturatedServer() as saturated, StubServer(answer) as other:
         settings = settings_with_short_window(second_copies=True)
         async with GatewayHarness(saturated, other, path=tmp_path, settings=settings) as harness:
@@ -456,8 +465,28 @@
                 assert policy.results == {"h1": "withheld", "h2": result}
 
 
+@pytest.mark.parametrize(
+    "answer, results",
+    [
+        (b"", {"h1": "withheld", "h2": "reset"}),
+        (b"-BUSY\r\n", {"h1": "connect_failed", "h2": "full"}),  # nothing ran, so h1 is waited for
+    ],
+)
+@on_loop
+async def test_attempt_whose_window_closes_while_connecting_is_given_up_at_once(answer, results, tmp_path):
+    # Guards against leaving a request without an answer while it waits for a connection that it can't use.
+    async with SaturatedServer() as saturated, StubServer(answer) as other:
+        settings = settings_with_short_window(second_copies=True)
+        async with GatewayHarness(saturated, other, path=tmp_path, settings=settings) as harness:
+            harness.service.policy = policy = TwoServerPolicy()
+            assert (await harness.send_command(write_command())).startswith(b"-ERR")
+            assert policy.results == results and not harness.service.active_requests
+            assert not harness.service.server_connections.pools["h1"].connecting
+
+
 @on_loop
-async def test_retry_is_not_written_if_its_window_closed_while_connecting(tmp_path):
+async def test_retry_is_not_written_if_its_window_closed_while_connecting(tmp_path, monkeypatch):
+    stop_retry_window_timers(monkeypatch)
     settings = settings_with_short_window()
     async with StubServer(None) as first, SaturatedServer() as saturated:
         async with GatewayHarness(first, path=tmp_path, settings=settings) as harness:
