--- a/calicomast/net/attempts.py
+++ b/calicomast/net/attempts.py
@@ -16,7 +16,15 @@
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.requests import ActiveRequest
 from calicomast.net.server_connections import Attempt
-from calicomast.rules import MAX_PROCESS_PAUSE, AttemptFacts, Verdict, may_write_attempt, retry_deadline
+from calicomast.rules import (
+    MAX_PROCESS_PAUSE,
+    AttemptFacts,
+    PartialWriteFacts,
+    Verdict,
+    may_finish_write,
+    may_write_attempt,
+    retry_deadline,
+)
 
 PROPAGATED_DEADLINE = re.compile(rb"[\n,]d=([0-9]+)")  # milliseconds, in an encoded command
 MAX_LOGGED_BYTES = 200  # of a command, in the message of a violation
@@ -68,6 +76,28 @@
             self.log_refusal(attempt, verdict)
         return verdict
 
+    def may_finish_write(self, attempt: Attempt, begun: bool) -> Verdict:
+        """Returns whether the rest of a partly written command may be written, and logs a refusal.
+
+        `begun` means that the socket took at least one byte.
+        """
+        request, _ = attempt.request_and_number
+        now = monotonic()
+        verdict = may_finish_write(
+            PartialWriteFacts(
+                finished=request.finished,
+                client_gone=not request.finished and request.slot.connection.peer_has_closed(),
+                remaining_time=request.deadline - now,
+                retry_window_left=self._retry_window_left(attempt),
+                server_listed=self._is_available(attempt.server),
+                begun=begun,
+                write_time=now - attempt.encoded_at,
+            )
+        )
+        if verdict is not Verdict.ALLOWED:
+            self.log_refusal(attempt, verdict)
+        return verdict
+
     def log_refusal(self, attempt: Attempt, verdict: Verdict) -> None:
         """Counts and logs why an attempt was not written."""
         request, number = attempt.request_and_number
@@ -87,7 +117,8 @@
         request.attempts_written += 1
         if request.service_class.effect != "safe":
             request.write_times[number] = self._clock()
-        remaining = request.deadline - monotonic()
+        attempt.encoded_at = monotonic()
+        remaining = request.deadline - attempt.encoded_at
         command = request.encode_command(remaining)
         self._check_invariants(attempt, request, command, remaining)
         return command
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -394,7 +394,7 @@
         number = request.attempts_created
         request.attempts_created += 1
         attempt = Attempt(action.server, self.build_command, self.attempt_done, (request, number))
-        attempt.slow_start = action.slow_start
+        attempt.slow_start, attempt.may_finish_write = action.slow_start, self.may_finish_write
         verdict = self.attempt_control.may_write(attempt, connected_late=False)
         if verdict is not Verdict.ALLOWED:
             if verdict is Verdict.CLIENT_GONE:
@@ -431,6 +431,17 @@
             self.retry_window_timers.watch(request)
         return command
 
+    def may_finish_write(self, attempt: Attempt, begun: bool) -> bool:
+        """Returns whether the rest of a partly written command may be sent.
+
+        `begun` means that the socket took at least one byte.
+        """
+        request, _ = attempt.request_and_number
+        verdict = self.attempt_control.may_finish_write(attempt, begun)
+        if verdict is Verdict.CLIENT_GONE:
+            self.handle_client_gone(request.slot)
+        return verdict is Verdict.ALLOWED
+
     def withhold_attempt(self, attempt: Attempt) -> None:
         """Ends an attempt whose retry window has closed while it waited for a connection."""
         self.attempt_control.log_refusal(attempt, Verdict.RETRY_WINDOW_CLOSED)
--- a/calicomast/net/server_connections.py
+++ b/calicomast/net/server_connections.py
@@ -23,6 +23,7 @@
 from calicomast.net.lifecycle import AttemptState, ServerConnectionState, transition
 from calicomast.net.local_errors import is_local_error
 from calicomast.net.server_list import Address
+from calicomast.rules import WRITE_CHECK_INTERVAL
 from calicomast.settings import read_load_report
 
 REUSE_DELAY = 0.02  # seconds after a response; a duplicate of it can arrive some milliseconds late
@@ -51,10 +52,13 @@
         server: the id of the server.
         build_command: called in the same step as the write; returns the bytes to write, or None if the
             attempt may no longer begin.
+        may_finish_write: called with the attempt, and whether the socket took any byte, while the socket
+            has not taken the whole command; returns whether the rest may still be sent.
         on_done: called once with the attempt, when `result` is set.
         request_and_number: the request that the attempt belongs to and the number of the attempt; for a
             probe, PROBE_MARKER.
         started_at: monotonic time at which the attempt was created.
+        encoded_at: monotonic time at which its command was encoded.
         result: one of interface.ATTEMPT_RESULTS; empty until the attempt has ended.
         value: the value that the server returned.
         quota_usage: the server's figure: 1 + percent of the tenant's rate used in the last metered period;
@@ -71,9 +75,11 @@
     __slots__ = (
         "server",
         "build_command",
+        "may_finish_write",
         "on_done",
         "request_and_number",
         "started_at",
+        "encoded_at",
         "result",
         "value",
         "quota_usage",
@@ -96,7 +102,8 @@
         self.build_command = build_command
         self.on_done = on_done
         self.request_and_number = request_and_number
-        self.started_at = monotonic()
+        self.may_finish_write: Callable[[Attempt, bool], bool] = lambda attempt, begun: True
+        self.started_at = self.encoded_at = monotonic()
         self.state = AttemptState.WAITING
         self.slow_start = False
         self.permitted = False
@@ -197,6 +204,8 @@
         pool: the pool that it belongs to.
         attempt: the attempt in progress on it.
         written: whether the socket took every byte so far.
+        command_bytes: length of the command of its attempt.
+        write_check: timer of the next check of a command that is written in part.
         idle_since: monotonic time at which its last attempt ended; 0 before the first attempt.
         idle_time: seconds for which it was idle before its attempt; 0 on a new connection.
         response_started: whether any byte of the response to its attempt has arrived.
@@ -208,6 +217,8 @@
         self.state = ServerConnectionState.CONNECTING
         self.attempt: Attempt | None = None
         self.written = True
+        self.command_bytes = 0
+        self.write_check: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.idle_time = 0.0
         self.response_started = False
@@ -227,10 +238,37 @@
     def pause_writing(self) -> None:
         """Called by the event loop: some bytes are still buffered above the socket."""
         self.written = False
+        self._schedule_write_check()
 
     def resume_writing(self) -> None:
         """Called by the event loop: the socket took all buffered bytes."""
         self.written = True
+        self._cancel_write_check()
+
+    def _schedule_write_check(self) -> None:
+        """Schedules a check whether the rest of the command may still be sent."""
+        loop = asyncio.get_running_loop()
+        self.write_check = loop.call_later(WRITE_CHECK_INTERVAL, self._check_write)
+
+    def _cancel_write_check(self) -> None:
+        """Cancels the next check."""
+        if self.write_check is not None:
+            self.write_check.cancel()
+            self.write_check = None
+
+    def _check_write(self) -> None:
+        """Ends an attempt whose command is written in part once the rules no longer allow the rest.
+
+        The server cannot execute it then, as the last byte is still buffered here.
+        """
+        attempt, self.write_check = self.attempt, None
+        if attempt is None or self.transport is None:
+            return
+        begun = self.transport.get_write_buffer_size() < self.command_bytes
+        if attempt.may_finish_write(attempt, begun):
+            self._schedule_write_check()
+        else:
+            self.abandon("cancelled")
 
     @contextlib.contextmanager
     def borrow_socket(self) -> Iterator[socket.socket]:
@@ -272,6 +310,7 @@
         self.attempt, attempt.connection = attempt, self
         self.idle_time = monotonic() - self.idle_since if self.idle_since else 0.0
         self.response_started = False
+        self.command_bytes = len(command)
         self.transport.write(command)
         if self.transport.is_closing():  # the write failed at once, so the socket took nothing
             self.written = False
@@ -305,6 +344,19 @@
             self.pool.release(self)
         attempt.end(result)
 
+    def abandon(self, result: str) -> None:
+        """Ends the attempt with a result and closes the connection.
+
+        The result is "connect_failed" if the command was not written completely. The connection is closed
+        since the next attempt on it would read a late response as its own.
+        """
+        attempt, self.attempt = self.attempt, None
+        if not self.written:
+            result = "connect_failed"
+        self.close()
+        if attempt is not None:
+            attempt.end(result)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop when the connection has ended."""
         self.close()
@@ -315,6 +367,7 @@
         The socket is shut down at once, before another attempt can be sent.
         """
         attempt, self.attempt = self.attempt, None
+        self._cancel_write_check()
         if self.state is not ServerConnectionState.CLOSED:
             self.state = transition(self.state, ServerConnectionState.CLOSED)
         self.pool.discard(self)
@@ -510,21 +563,13 @@
         )
 
     def cancel_attempt(self, attempt: Attempt, result: str) -> None:
-        """Ends an attempt with a result; "connect_failed" if it was not written completely.
-
-        Its connection is closed, because the next attempt on it would read the late response as its own.
-        """
+        """Ends an attempt with a result; "connect_failed" if it was not written completely."""
         if attempt.result:
             return
-        connection = attempt.connection
-        if connection is None:
+        if attempt.connection is None:
             self._end_waiting(attempt, "connect_failed")
-            return
-        if not connection.written:
-            result = "connect_failed"
-        connection.attempt = None
-        connection.close()
-        attempt.end(result)
+        else:
+            attempt.connection.abandon(result)
 
     def withhold(self, attempt: Attempt) -> None:
         """Ends an attempt that waits for a connection with "withheld"; others are not affected."""
--- a/calicomast/rules.py
+++ b/calicomast/rules.py
@@ -16,6 +16,10 @@
 from calicomast import interface as api
 
 MAX_PROCESS_PAUSE = 0.15  # seconds that the process may be suspended between reading its clock and writing
+# Seconds from encoding a command until its socket has taken the last byte. The command states a remaining
+# time that is too long by as much.
+MAX_WRITE_TIME = 0.05
+WRITE_CHECK_INTERVAL = 0.01  # seconds between checks of a command that its socket has taken only in part
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -29,6 +33,7 @@
     RETRY_WINDOW_CLOSED = "repeat window closed"
     ATTEMPT_LIMIT = "attempt limit"
     HEDGING_NOT_ALLOWED = "second attempt out"
+    REMAINING_TIME_OUTDATED = "remaining time outdated"
     SERVER_UNAVAILABLE = "server draining or removed"
     SLOW_START_BUDGET_SPENT = "start budget spent"
     SHUTTING_DOWN = "shutting down"
@@ -105,6 +110,44 @@
     return Verdict.ALLOWED
 
 
+@dataclass(slots=True)
+class PartialWriteFacts:
+    """State of an attempt whose command its socket has not taken completely.
+
+    The server does not execute the attempt before it has the last byte, so it may still be withdrawn.
+
+    Attributes:
+        begun: whether the socket took any byte.
+        write_time: seconds since the command was encoded.
+        The others are those of AttemptFacts.
+    """
+
+    finished: bool
+    client_gone: bool
+    remaining_time: float
+    retry_window_left: float
+    server_listed: bool
+    begun: bool
+    write_time: float
+
+
+def may_finish_write(facts: PartialWriteFacts) -> Verdict:
+    """Decides whether the rest of a command may be written until the next check of it."""
+    if facts.finished:
+        return Verdict.REQUEST_FINISHED
+    if facts.client_gone:
+        return Verdict.CLIENT_GONE
+    if facts.remaining_time <= WRITE_CHECK_INTERVAL:
+        return Verdict.DEADLINE_PASSED
+    if facts.retry_window_left <= WRITE_CHECK_INTERVAL:
+        return Verdict.RETRY_WINDOW_CLOSED
+    if facts.write_time + WRITE_CHECK_INTERVAL > MAX_WRITE_TIME:
+        return Verdict.REMAINING_TIME_OUTDATED
+    if not facts.begun and not facts.server_listed:
+        return Verdict.SERVER_UNAVAILABLE
+    return Verdict.ALLOWED
+
+
 def may_accept_request(
     *,
     shutting_down: bool,
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -9,6 +9,7 @@
 import uvloop
 from aiohttp import web
 
+from calicomast import interface as api
 from calicomast.net.config import read_config
 from calicomast.net.gateway import GatewayService
 from emulator.virtual_loop import VirtualLoop
@@ -78,6 +79,18 @@
 }
 
 
+def settings_with(**limits):
+    """Returns the settings of the tests with some limits replaced."""
+    return {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
+
+
+def settings_with_window(seconds, **limits):
+    """Returns settings with a retry window of so many seconds for the class "write"."""
+    read, write, note = SETTINGS["services"]
+    services = [read, {**write, "memory_span": int(seconds * 1e9)}, note]
+    return {**settings_with(**limits), "services": services}
+
+
 def on_loop(test):
     """Runs an async test on uvloop, as the gateway does, for at most TEST_TIMEOUT."""
 
@@ -333,6 +346,21 @@
     }
 
 
+class TwoServerPolicy:
+    """A policy that sends each request to h1 and h2 at once, and fails it when both attempts have ended."""
+
+    def __init__(self):
+        self.results = {}
+
+    def handle(self, now, event):
+        if isinstance(event, api.Request):
+            return [api.Send(event.id, "h1"), api.Send(event.id, "h2")]
+        if isinstance(event, api.Outcome) and not event.final:
+            self.results[event.server] = event.result
+            return [api.Fail(event.id)] * (len(self.results) == 2)
+        return []
+
+
 class GatewayHarness:
     """A gateway with a stub counter, a stub discovery and the given stub servers, named h1, h2 and so on."""
 
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -14,12 +14,15 @@
     GatewayHarness,
     SaturatedServer,
     StubServer,
+    TwoServerPolicy,
     command,
     command_fields,
     on_loop,
     propagated_deadline_ms,
     read_reply,
     server_entry,
+    settings_with,
+    settings_with_window,
     write_command,
 )
 
@@ -392,11 +395,6 @@
             assert await harness.send_command(command(fields=command_fields(d="1000"))) == b"-BUSY\r\n"
 
 
-def settings_with(**limits):
-    """Returns the settings of the tests with some limits replaced."""
-    return {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
-
-
 @on_loop
 async def test_remaining_time_is_propagated_after_a_late_connect(tmp_path):
     settings = settings_with(connect_timeout=2_500_000_000)
@@ -416,25 +414,7 @@
 
 def settings_with_short_window(**limits):
     """Returns settings with a retry window of 0.8 s, while a late connection takes a second."""
-    keyed_class = {**SETTINGS["services"][1], "memory_span": 800_000_000}
-    settings = settings_with(connect_timeout=2_500_000_000, **limits)
-    settings["services"] = [SETTINGS["services"][0], keyed_class, SETTINGS["services"][2]]
-    return settings
-
-
-class TwoServerPolicy:
-    """A policy that sends each request to h1 and h2 at once, and fails it when both attempts have ended."""
-
-    def __init__(self):
-        self.results = {}
-
-    def handle(self, now, event):
-        if isinstance(event, api.Request):
-            return [api.Send(event.id, "h1"), api.Send(event.id, "h2")]
-        if isinstance(event, api.Outcome) and not event.final:
-            self.results[event.server] = event.result
-            return [api.Fail(event.id)] * (len(self.results) == 2)
-        return []
+    return settings_with_window(0.8, connect_timeout=2_500_000_000, **limits)
 
 
 def stop_retry_window_timers(monkeypatch):
--- a/tests/test_net_server_connections.py
+++ b/tests/test_net_server_connections.py
@@ -1,6 +1,7 @@
 """Connections to servers: attempts, their results, probes, limits."""
 
 import asyncio
+import contextlib
 import gc
 import math
 import os
@@ -14,14 +15,18 @@
     SERVER_REPLY,
     GatewayHarness,
     StubServer,
+    TwoServerPolicy,
     command,
     command_fields,
     on_loop,
     read_reply,
+    server_entry,
+    settings_with_window,
     write_command,
 )
 
 from calicomast import interface as api
+from calicomast import rules
 from calicomast.net import server_connections
 from calicomast.net.server_connections import Attempt
 
@@ -466,13 +471,12 @@
         assert policy.results == ["connect_failed"] and len(other.commands) == 1
 
 
-@pytest.mark.parametrize(
-    "read, result, answer", [(False, "connect_failed", CLIENT_REPLY), (True, "reset", b"-ERR failed\r\n")]
-)
-@on_loop
-async def test_request_counts_as_possibly_executed_once_its_last_byte_is_written(
-    read, result, answer, tmp_path, monkeypatch
-):
+def shrink_send_buffers(monkeypatch, max_write_time=60.0):
+    """Makes the sockets of connections to servers take only a part of a long command at once.
+
+    `max_write_time` is in seconds; by default there is enough even on a busy machine.
+    """
+    monkeypatch.setattr(rules, "MAX_WRITE_TIME", max_write_time)
     original = server_connections.Connection.connection_made
 
     def with_small_send_buffer(self, transport):
@@ -481,6 +485,16 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
     monkeypatch.setattr(server_connections.Connection, "connection_made", with_small_send_buffer)
+
+
+@pytest.mark.parametrize(
+    "read, result, answer", [(False, "connect_failed", CLIENT_REPLY), (True, "reset", b"-ERR failed\r\n")]
+)
+@on_loop
+async def test_request_counts_as_possibly_executed_once_its_last_byte_is_written(
+    read, result, answer, tmp_path, monkeypatch
+):
+    shrink_send_buffers(monkeypatch)
     raw_server, loop = RawServer(receive_buffer=4096), asyncio.get_running_loop()
     async with StubServer() as other, GatewayHarness(raw_server, other, path=tmp_path) as harness:
         harness.service.policy = policy = policy_sending_first_to("h1")
@@ -500,3 +514,109 @@
         raw_server.reset(connection)
         assert await task == answer
         assert policy.results == [result] and len(other.commands) == (not read)
+
+
+DEADLINE_SLACK = 0.15  # seconds by which the time told to a server may exceed what is left to the client
+LONG_BODY = b"x" * 60_000  # more than the sockets of `shrink_send_buffers` take at once
+
+
+async def partly_written_connection(harness):
+    """Waits until a part of a command is written, and returns its connection."""
+    while True:
+        for connection in harness.service.server_connections.connections:
+            if not connection.written:
+                return connection
+        await asyncio.sleep(0)
+
+
+async def read_to_end(connection):
+    """Reads what the gateway sends on a connection until it ends."""
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while data := await asyncio.get_running_loop().sock_recv(connection, 65536):
+            received += data
+    return received
+
+
+@on_loop
+async def test_partly_written_attempt_is_not_completed_after_the_window_of_another(tmp_path, monkeypatch):
+    # Guards against running a keyed request twice, as the rest of its command waited in a send buffer.
+    shrink_send_buffers(monkeypatch)
+    raw_server, window = RawServer(receive_buffer=4096), 0.3
+    settings = settings_with_window(window, second_copies=True)
+    async with (
+        StubServer(b"") as other,
+        GatewayHarness(raw_server, other, path=tmp_path, settings=settings) as harness,
+    ):
+        harness.service.policy = policy = TwoServerPolicy()
+        fields = command_fields(c="write", k="77")
+        reply = asyncio.create_task(
+            harness.send_command(command(b"r1", fields, b"API.WRITE", body=LONG_BODY))
+        )
+        connection = await raw_server.accept()
+        await other.arrived.get()
+        await asyncio.sleep(window)  # the server reads nothing for so long
+        received = await read_to_end(connection)
+        assert received and not received.endswith(LONG_BODY[:60] + b"\r\n")
+        assert (await reply).startswith(b"-ERR")
+        assert policy.results == {"h1": "connect_failed", "h2": "reset"}
+
+
+@pytest.mark.parametrize("max_write_time", [rules.MAX_WRITE_TIME, 60.0])
+@on_loop
+async def test_partly_written_attempt_is_not_completed_once_its_deadline_is_stale(
+    max_write_time, tmp_path, monkeypatch
+):
+    # Guards against telling a server time that the client no longer has.
+    shrink_send_buffers(monkeypatch, max_write_time)
+    raw_server, loop = RawServer(receive_buffer=4096), asyncio.get_running_loop()
+    async with (
+        StubServer() as other,
+        GatewayHarness(raw_server, other, path=tmp_path) as harness,
+    ):
+        harness.service.policy = policy_sending_first_to("h1")
+        fields = command_fields(c="note")
+        reply = asyncio.create_task(
+            harness.send_command(command(b"r1", fields, b"API.WRITE", body=LONG_BODY))
+        )
+        connection = await raw_server.accept()
+        await partly_written_connection(harness)
+        await asyncio.sleep(DEADLINE_SLACK)
+        if max_write_time < DEADLINE_SLACK:
+            received = await read_to_end(connection)
+            assert received and not received.endswith(LONG_BODY[:60] + b"\r\n")
+            assert await reply == CLIENT_REPLY and len(other.commands) == 1  # as nothing ran here
+        else:
+            received = b""
+            while not received.endswith(LONG_BODY[:60] + b"\r\n"):
+                received += await loop.sock_recv(connection, 65536)
+            await loop.sock_sendall(connection, SERVER_REPLY)
+            assert await reply == CLIENT_REPLY and not other.commands
+
+
+@on_loop
+async def test_attempt_of_which_nothing_is_written_yet_ends_when_its_server_drains(tmp_path, monkeypatch):
+    # Guards against sending to a draining server what waited in a send buffer.
+    original = server_connections.Connection.connection_made
+
+    def with_full_socket(self, transport):
+        original(self, transport)
+        with self.borrow_socket() as sock, contextlib.suppress(BlockingIOError):
+            while True:
+                sock.send(b"x" * 65536, socket.MSG_DONTWAIT)
+
+    monkeypatch.setattr(server_connections.Connection, "connection_made", with_full_socket)
+    monkeypatch.setattr(rules, "MAX_WRITE_TIME", 60.0)  # only the drain ends the attempt
+    raw_server = RawServer(receive_buffer=4096)
+    async with (
+        StubServer() as other,
+        GatewayHarness(raw_server, other, path=tmp_path) as harness,
+    ):
+        harness.service.policy = policy_sending_first_to("h1")
+        reply = asyncio.create_task(harness.send_command(write_command(service_class=b"note")))
+        accepted = await raw_server.accept()
+        await partly_written_connection(harness)
+        monkeypatch.setattr(server_connections.Connection, "connection_made", original)
+        harness.discovery.changes.put_nowait([server_entry(raw_server, "h1", state="draining")])
+        assert await reply == CLIENT_REPLY and len(other.commands) == 1
+        accepted.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from helpers import READ, UNSAFE_WRITE, WRITE
 
 from calicomast import rules
-from calicomast.rules import AttemptFacts, Verdict, may_write_attempt
+from calicomast.rules import AttemptFacts, PartialWriteFacts, Verdict, may_finish_write, may_write_attempt
 
 ALLOWED_ATTEMPT = AttemptFacts(
     finished=False,
@@ -113,3 +113,28 @@
     assert rules.retry_deadline(READ, [100.0]) == math.inf
     assert rules.retry_deadline(WRITE, []) == rules.retry_deadline(UNSAFE_WRITE, []) == math.inf
     assert rules.retry_deadline(UNSAFE_WRITE, [100.0]) == -math.inf
+
+
+ALLOWED_REST = PartialWriteFacts(
+    finished=False,
+    client_gone=False,
+    remaining_time=1.0,
+    retry_window_left=math.inf,
+    server_listed=True,
+    begun=False,
+    write_time=0.0,
+)
+
+
+def test_rest_of_a_partly_written_command_is_allowed_until_a_fact_changes():
+    def verdict(**facts):
+        return may_finish_write(dataclasses.replace(ALLOWED_REST, **facts))
+
+    assert verdict() is verdict(begun=True, server_listed=False) is Verdict.ALLOWED
+    assert verdict(finished=True) is Verdict.REQUEST_FINISHED
+    assert verdict(client_gone=True) is Verdict.CLIENT_GONE
+    assert verdict(server_listed=False) is Verdict.SERVER_UNAVAILABLE
+    # Each time has to last until the next check.
+    assert verdict(remaining_time=rules.WRITE_CHECK_INTERVAL) is Verdict.DEADLINE_PASSED
+    assert verdict(retry_window_left=rules.WRITE_CHECK_INTERVAL) is Verdict.RETRY_WINDOW_CLOSED
+    assert verdict(write_time=rules.MAX_WRITE_TIME) is Verdict.REMAINING_TIME_OUTDATED
