Reset connections of given-up attempts whose commands the server has not received

After the client had closed, the attempt was ended and its connection closed, but the system went on to send the rest: a server that read again later got the whole command and began an attempt for a client that had left.

Cause: a close without unread input sends what is queued before the end. Giving an attempt up ended it in the gateway only.

Change: where an attempt is given up and the server has not acknowledged all bytes (TIOCOUTQ, as for clients), the close is a reset, which discards them. Results are as before: what the socket took may have run. A connection with nothing queued is closed as before; the query is made for given-up attempts only.

--- a/calicomast/net/server_connections.py
+++ b/calicomast/net/server_connections.py
@@ -13,6 +13,7 @@
 import math
 import re
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from time import monotonic
 from typing import Any
@@ -23,6 +24,7 @@
 from calicomast.net.lifecycle import AttemptState, ServerConnectionState, transition
 from calicomast.net.local_errors import is_local_error
 from calicomast.net.server_list import Address
+from calicomast.net.socket_state import unacknowledged_bytes
 from calicomast.rules import WRITE_CHECK_INTERVAL
 from calicomast.settings import read_load_report
 
@@ -35,6 +37,7 @@
 IDLE_LOSS_HALF_LIFE = 30.0  # seconds after which the counts of idle connections have decayed by half
 MAX_LOAD = 10_000.0  # largest figure in a load report; a larger one would distort the averages for long
 MAX_QUOTA_USAGE = 1_000_000  # percent of a tenant's rate; a larger number is taken to be an error
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER: enabled, with a time of 0 seconds
 PROBE_MARKER = object()  # in place of request and number: the attempt is a probe
 PROBE_COMMAND = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"
 
@@ -353,10 +356,22 @@
         attempt, self.attempt = self.attempt, None
         if not self.written:
             result = "connect_failed"
+        self._discard_unsent()
         self.close()
         if attempt is not None:
             attempt.end(result)
 
+    def _discard_unsent(self) -> None:
+        """Makes the coming close discard what the server has not acknowledged.
+
+        The system would go on to send it after the close, and a server that reads again later would begin the
+        attempt then.
+        """
+        if self.transport is None or self.transport.is_closing() or not unacknowledged_bytes(self.descriptor):
+            return
+        with self.borrow_socket() as sock, contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop when the connection has ended."""
         self.close()
--- a/tests/test_net_server_connections.py
+++ b/tests/test_net_server_connections.py
@@ -620,3 +620,23 @@
         harness.discovery.changes.put_nowait([server_entry(raw_server, "h1", state="draining")])
         assert await reply == CLIENT_REPLY and len(other.commands) == 1
         accepted.close()
+
+
+@on_loop
+async def test_command_of_an_ended_attempt_does_not_reach_a_server_that_reads_late(tmp_path):
+    # Guards against beginning an attempt after its client has gone, as its command waited in the system.
+    raw_server, command_end = RawServer(receive_buffer=4096), LONG_BODY[:60] + b"\r\n"
+    async with GatewayHarness(raw_server, path=tmp_path) as harness:
+        _, writer = await harness.connect()
+        fields = command_fields(c="note")
+        writer.write(command(b"r1", fields, b"API.WRITE", body=LONG_BODY))
+        connection = await raw_server.accept()
+        while not any(
+            each.attempt and each.written for each in harness.service.server_connections.connections
+        ):
+            await asyncio.sleep(0)
+        writer.close()
+        while harness.service.active_requests:
+            await asyncio.sleep(0)
+        received = await read_to_end(connection)
+        assert received and not received.endswith(command_end)
