Split the connections to servers into modules with one job each

Attempt, the reading of responses, the estimator of lost idle connections and the single connection are modules of their own; Connection is ServerConnection, like ClientConnection, and attempts.py, which holds AttemptControl, is attempt_control.py. Moved code is otherwise unchanged; the tests patch the clock of all three modules that read it in one test, and the new places elsewhere.

--- a/calicomast/net/attempt_control.py
+++ b/calicomast/net/attempt_control.py
@@ -11,11 +11,11 @@
 from time import monotonic
 
 from calicomast import interface as api
+from calicomast.net.attempt import Attempt
 from calicomast.net.clock import Clock
 from calicomast.net.events import EventKind, EventLog
 from calicomast.net.invariants import MONITOR, Invariant
 from calicomast.net.requests import ActiveRequest
-from calicomast.net.server_connections import Attempt
 from calicomast.rules import (
     MAX_PROCESS_PAUSE,
     AttemptFacts,
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -17,7 +17,8 @@
 from collections.abc import Iterator
 
 from calicomast import interface as api
-from calicomast.net.attempts import AttemptControl
+from calicomast.net.attempt import Attempt
+from calicomast.net.attempt_control import AttemptControl
 from calicomast.net.clients import ClientConnections
 from calicomast.net.clock import Clock
 from calicomast.net.config import Config
@@ -35,7 +36,7 @@
     validate_command,
 )
 from calicomast.net.retry_window import RetryWindowTimers
-from calicomast.net.server_connections import Attempt, ServerConnections
+from calicomast.net.server_connections import ServerConnections
 from calicomast.net.server_list import Address, ServerList
 from calicomast.net.server_table import ServerTable
 from calicomast.policy import GatewayPolicy
--- a/calicomast/net/requests.py
+++ b/calicomast/net/requests.py
@@ -6,10 +6,10 @@
 import re
 
 from calicomast import interface as api
+from calicomast.net.attempt import Attempt
 from calicomast.net.framing import MAX_BODY_BYTES
 from calicomast.net.lifecycle import AttemptState, RequestState, transition
 from calicomast.net.pending_commands import ResponseSlot
-from calicomast.net.server_connections import Attempt
 from calicomast.rules import remaining_time_ms
 
 MAX_REMAINING_TIME = 3600.0  # seconds; a client that claims to wait longer is in error
--- a/calicomast/net/retry_window.py
+++ b/calicomast/net/retry_window.py
@@ -10,9 +10,9 @@
 import math
 from collections.abc import Callable
 
+from calicomast.net.attempt import Attempt
 from calicomast.net.clock import Clock
 from calicomast.net.requests import ActiveRequest
-from calicomast.net.server_connections import Attempt
 from calicomast.rules import retry_deadline
 
 
--- a/emulator/soak/sabotage.py
+++ b/emulator/soak/sabotage.py
@@ -24,6 +24,7 @@
     server_table,
 )
 from calicomast.net.__main__ import SighupCounter
+from calicomast.net.attempt import PROBE_MARKER, Attempt
 
 SEND_DELAY = 0.4  # seconds by which attempts are sent late; their clients have left or been answered by then
 RESEND_DELAY_PAST_WINDOW = 2.3  # seconds after a response; longer than the deduplication window
@@ -72,9 +73,7 @@
     """Sends attempts late and skips the check whether they are still permitted."""
     send = server_connections.ServerConnections.send
 
-    def send_later(
-        self: server_connections.ServerConnections, attempt: server_connections.Attempt, timeout: float
-    ) -> None:
+    def send_later(self: server_connections.ServerConnections, attempt: Attempt, timeout: float) -> None:
         def send_now() -> None:
             if not attempt.result:
                 attempt.permitted = True
@@ -89,14 +88,12 @@
     """Sends a request to its server again, some seconds after its response."""
     original_attempt_done = gateway.GatewayService.attempt_done
 
-    def attempt_done(service: gateway.GatewayService, attempt: server_connections.Attempt) -> None:
+    def attempt_done(service: gateway.GatewayService, attempt: Attempt) -> None:
         request, _ = attempt.request_and_number
         original_attempt_done(service, attempt)
         if attempt.result == "ok":
             payload = request.encode_command(1.0)
-            resent = server_connections.Attempt(
-                attempt.server, lambda _: payload, lambda _: None, server_connections.PROBE_MARKER
-            )
+            resent = Attempt(attempt.server, lambda _: payload, lambda _: None, PROBE_MARKER)
             call_later(seconds, service.server_connections.send, resent, 1.0)
 
     gateway.GatewayService.attempt_done = attempt_done  # type: ignore[method-assign]
--- a/tests/test_net_server_connections.py
+++ b/tests/test_net_server_connections.py
@@ -27,8 +27,8 @@
 
 from calicomast import interface as api
 from calicomast import rules
-from calicomast.net import server_connections
-from calicomast.net.server_connections import Attempt
+from calicomast.net import attempt, idle_loss, server_connection, server_connections
+from calicomast.net.attempt import Attempt
 
 
 @on_loop
@@ -267,7 +267,8 @@
 async def test_late_duplicate_response_is_not_taken_for_the_next_response(tmp_path, monkeypatch):
     """The duplicate arrives only after the next request was written, so a check for unread data misses it."""
     now = time.monotonic()
-    monkeypatch.setattr(server_connections, "monotonic", lambda: now)
+    for module in (attempt, server_connection, server_connections):
+        monkeypatch.setattr(module, "monotonic", lambda: now)
     async with StubServer(None) as server, GatewayHarness(server, path=tmp_path) as harness:
 
         async def send_request(name):
@@ -308,7 +309,7 @@
 async def test_exception_while_reading_a_response_ends_the_attempt(tmp_path, monkeypatch):
     async with StubServer() as server, GatewayHarness(server, path=tmp_path) as harness:
         with monkeypatch.context() as patch:
-            patch.setattr("calicomast.net.server_connections.read_response", lambda *_: 1 / 0)
+            patch.setattr("calicomast.net.server_connection.read_response", lambda *_: 1 / 0)
             assert (await harness.send_command(write_command(service_class=b"note"))).startswith(b"-ERR")
         assert not harness.service.server_connections.connections
         assert await harness.send_command(command(b"r2")) == CLIENT_REPLY
@@ -330,7 +331,7 @@
             def is_closing(self):
                 return False
 
-        connection = server_connections.Connection(harness.service.server_connections.pool_for("h1"))
+        connection = server_connection.ServerConnection(harness.service.server_connections.pool_for("h1"))
         connection.connection_made(Transport({"socket": ours}))
         assert connection.is_reusable()
         del connection
@@ -386,7 +387,7 @@
 
 
 def test_random_resets_set_no_idle_limit():
-    estimator = server_connections.IdleLossEstimator()
+    estimator = idle_loss.IdleLossEstimator()
     for n in range(400):
         lost = n % 11 == 0
         estimator.record(0.0, lost)
@@ -395,7 +396,7 @@
 
 
 def test_idle_limit_expires_as_the_counts_decay():
-    estimator = server_connections.IdleLossEstimator()
+    estimator = idle_loss.IdleLossEstimator()
     for n in range(60):
         estimator.record(0.3, False)
         estimator.record(0.9 + n % 5, n % 2 == 0)
@@ -459,14 +460,14 @@
         await loop.sock_recv(connection, 65536)
         await loop.sock_sendall(connection, SERVER_REPLY)
         assert await task == CLIENT_REPLY
-        original = server_connections.Connection.is_reusable
+        original = server_connection.ServerConnection.is_reusable
 
         def reset_after_check(self):
             reusable = original(self)
             raw_server.reset(connection)
             return reusable
 
-        monkeypatch.setattr(server_connections.Connection, "is_reusable", reset_after_check)
+        monkeypatch.setattr(server_connection.ServerConnection, "is_reusable", reset_after_check)
         assert await harness.send_command(write_command(service_class=b"note")) == CLIENT_REPLY
         assert policy.results == ["connect_failed"] and len(other.commands) == 1
 
@@ -477,14 +478,14 @@
     `max_write_time` is in seconds; by default there is enough even on a busy machine.
     """
     monkeypatch.setattr(rules, "MAX_WRITE_TIME", max_write_time)
-    original = server_connections.Connection.connection_made
+    original = server_connection.ServerConnection.connection_made
 
     def with_small_send_buffer(self, transport):
         original(self, transport)
         with self.borrow_socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
-    monkeypatch.setattr(server_connections.Connection, "connection_made", with_small_send_buffer)
+    monkeypatch.setattr(server_connection.ServerConnection, "connection_made", with_small_send_buffer)
 
 
 @pytest.mark.parametrize(
@@ -597,7 +598,7 @@
 @on_loop
 async def test_attempt_of_which_nothing_is_written_yet_ends_when_its_server_drains(tmp_path, monkeypatch):
     # Guards against sending to a draining server what waited in a send buffer.
-    original = server_connections.Connection.connection_made
+    original = server_connection.ServerConnection.connection_made
 
     def with_full_socket(self, transport):
         original(self, transport)
@@ -605,7 +606,7 @@
             while True:
                 sock.send(b"x" * 65536, socket.MSG_DONTWAIT)
 
-    monkeypatch.setattr(server_connections.Connection, "connection_made", with_full_socket)
+    monkeypatch.setattr(server_connection.ServerConnection, "connection_made", with_full_socket)
     monkeypatch.setattr(rules, "MAX_WRITE_TIME", 60.0)  # only the drain ends the attempt
     raw_server = RawServer(receive_buffer=4096)
     async with (
@@ -616,7 +617,7 @@
         reply = asyncio.create_task(harness.send_command(write_command(service_class=b"note")))
         accepted = await raw_server.accept()
         await partly_written_connection(harness)
-        monkeypatch.setattr(server_connections.Connection, "connection_made", original)
+        monkeypatch.setattr(server_connection.ServerConnection, "connection_made", original)
         harness.discovery.changes.put_nowait([server_entry(raw_server, "h1", state="draining")])
         assert await reply == CLIENT_REPLY and len(other.commands) == 1
         accepted.close()
