--- a/calicomast/net/attempt.py
+++ b/calicomast/net/attempt.py
@@ -17,6 +17,11 @@
 Report = dict[str, float]
 
 
+def always_allowed(attempt: Attempt, begun: bool) -> bool:
+    """Lets the rest of a command be written whatever has changed, as for probes."""
+    return True
+
+
 class Attempt:
     """One command sent to one server.
 
@@ -74,7 +79,7 @@
         self.build_command = build_command
         self.on_done = on_done
         self.request_and_number = request_and_number
-        self.may_finish_write: Callable[[Attempt, bool], bool] = lambda attempt, begun: True
+        self.may_finish_write: Callable[[Attempt, bool], bool] = always_allowed
         self.started_at = self.encoded_at = monotonic()
         self.state = AttemptState.WAITING
         self.slow_start = False
