Emulator: end on a SIGINT that comes together with a response

Cause: SIGINT cancels the main task. asyncio.wait_for of Python 3.11 drops a cancellation if its result is there in the same turn of the event loop, and the emulator waits by it for the answer to PING as a gateway starts.

Change: asyncio.timeout, which does not drop it, at all three places. The new test cancels the wait together with its response, and fails before: no CancelledError.

--- a/emulator/real/load.py
+++ b/emulator/real/load.py
@@ -46,7 +46,8 @@
         self.writer.write(command)
         while (response := self.parser.gets()) is False:
             try:
-                data = await asyncio.wait_for(self.reader.read(65536), RESPONSE_TIMEOUT)
+                async with asyncio.timeout(RESPONSE_TIMEOUT):
+                    data = await self.reader.read(65536)
             except TimeoutError as err:
                 raise LoadError("no response in time") from err
             if not data:
--- a/emulator/real/processes.py
+++ b/emulator/real/processes.py
@@ -76,7 +76,8 @@
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal_number)
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(process.wait(), EXIT_TIMEOUT)
+            async with asyncio.timeout(EXIT_TIMEOUT):
+                await process.wait()
 
 
 class StandInProcess:
@@ -170,7 +171,10 @@
         return False
     try:
         writer.write(PING)
-        return await asyncio.wait_for(reader.readline(), timeout) == PONG
+        # Not asyncio.wait_for: in Python 3.11 it ignores a cancellation, such as SIGINT causes, that comes
+        # together with the response.
+        async with asyncio.timeout(timeout):
+            return await reader.readline() == PONG
     except (OSError, TimeoutError):
         return False
     finally:
--- a/tests/test_emulator_real.py
+++ b/tests/test_emulator_real.py
@@ -70,6 +70,33 @@
                 pass
 
 
+@on_loop
+async def test_interrupt_that_comes_together_with_a_response_is_not_ignored(monkeypatch):
+    # Guards against a scenario that runs on after SIGINT.
+    response = asyncio.get_running_loop().create_future()
+
+    class Connection:
+        async def readline(self):
+            return await response
+
+        def write(self, data):
+            pass
+
+        def close(self):
+            pass
+
+    async def open_connection(host, port):
+        return Connection(), Connection()
+
+    monkeypatch.setattr(asyncio, "open_connection", open_connection)
+    task = asyncio.create_task(processes.answers_ping(1, timeout=10.0))
+    await asyncio.sleep(0.01)
+    response.set_result(processes.PONG)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+
+
 def test_interrupt_leaves_no_process_behind():
     command = [sys.executable, "-m", "emulator", "run", "real-reload", "--servers", "50"]
     process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
