Serve no response that comes before the whole command is written

What callers would see: the value of another request. A font server's second response may come late; where a command was written in part meanwhile, that response ended its attempt and was served. The connection was then kept, with the rest of the command in front of the next one.

Cause: data_received took each response for one to the connection's command, and did not ask whether the server had its last byte, which it needs to begin it.

Change: such a connection is closed, and the attempt has never run.

The new test failed before: the client got the value `other`.

--- a/calicomast/net/server_connection.py
+++ b/calicomast/net/server_connection.py
@@ -152,8 +152,10 @@
     def data_received(self, data: bytes) -> None:
         """Called by the event loop: ends the attempt once its response is complete."""
         attempt = self.attempt
-        if attempt is None:  # no attempt waits for this response
-            self.close()
+        # No attempt waits for this response, or the server lacks the end of the command, so that it responds
+        # to another one. The rest of the command must not precede the next one.
+        if attempt is None or not self.written:
+            self.abandon("reset")
             return
         self.response_started = True
         self.framing.feed(data)
--- a/tests/test_net_server_connections.py
+++ b/tests/test_net_server_connections.py
@@ -641,3 +641,22 @@
             await asyncio.sleep(0)
         received = await read_to_end(connection)
         assert received and not received.endswith(command_end)
+
+
+@on_loop
+async def test_response_before_the_whole_command_is_written_is_not_served(tmp_path, monkeypatch):
+    # Guards against serving the late second response of another request.
+    shrink_send_buffers(monkeypatch)
+    raw_server, loop = RawServer(receive_buffer=4096), asyncio.get_running_loop()
+    async with StubServer() as other, GatewayHarness(raw_server, other, path=tmp_path) as harness:
+        harness.service.policy = policy = policy_sending_first_to("h1")
+        fields = command_fields(c="note")
+        reply = asyncio.create_task(
+            harness.send_command(command(b"r1", fields, b"API.WRITE", body=LONG_BODY))
+        )
+        connection = await raw_server.accept()
+        await partly_written_connection(harness)
+        await loop.sock_sendall(connection, b"*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n")
+        assert await reply == CLIENT_REPLY and len(other.commands) == 1
+        assert policy.results == ["connect_failed"]
+        assert not (await read_to_end(connection)).endswith(LONG_BODY[:60] + b"\r\n")
